Take the due time from the budget alone; drop late held work only while more waits

Cause: time spent elsewhere was guessed from the longest budget seen, and callers with short waits of their own made it far too long, so that tries were turned away with idle cores.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -45,7 +45,6 @@
     runs: VecDeque<f64>,
     /// Time at calls and waiting for them, by run.
     below: VecDeque<f64>,
-    budgets: VecDeque<f64>,
     lowest: f64,
     until_probe: f64,
 }
@@ -208,7 +207,6 @@
             calls: matches!(listed("FamilyInfo.ClassCalls").as_str(), "true" | "1"),
             runs: VecDeque::new(),
             below: VecDeque::new(),
-            budgets: VecDeque::new(),
             lowest: f64::INFINITY,
             until_probe: 0.0,
         }
@@ -220,18 +218,14 @@
         self.at(now);
         let Some(last) = self.ops.len().checked_sub(1) else { return self.settle() };
         told.operation = told.operation.min(last);
-        let op = &mut self.ops[told.operation];
+        let op = &self.ops[told.operation];
         let arrived = now - told.age;
         let mut due = arrived + op.timeout;
-        let mut spent = 0.0;
         if let Some(budget) = told.budget {
-            // A try with less time than others of its operation has spent the difference elsewhere.
             due = now + budget;
-            sample(&mut op.budgets, budget + told.age);
-            spent = op.budgets.iter().fold(0.0, |most: f64, &one| most.max(one)) - budget - told.age;
         }
         let stretched = op.objective + op.stretch * told.cost.unwrap_or(0.0);
-        let by = (arrived + stretched.min(op.timeout) - spent).min(due);
+        let by = (arrived + stretched.min(op.timeout)).min(due);
         let over_share = self.beyond_share(told.customer);
         // A repeat of what was turned away unrun in this very batch is a first try.
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
@@ -584,8 +578,8 @@
         let held = self.count(|it| it.stage == Stage::Held);
         self.first(|it| {
             let late = self.now + 0.7 * self.whole_time(it) > it.by;
-            let better = held > 1 || self.ops[it.told.operation].late_value == 0.0;
-            it.stage == Stage::Held && late && better
+            let none = self.now > it.by && self.ops[it.told.operation].late_value == 0.0;
+            it.stage == Stage::Held && (late && held > 1 || none)
         })
     }
 
