--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -13,8 +13,9 @@
 
 use crate::{Decided, Invocation, Outcome, Settings};
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Stage {
+    #[default]
     Read,
     Held,
     Running,
@@ -23,14 +24,16 @@
     Joined,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Kind {
     Idempotent,
     Tokened,
+    #[default]
     NonIdempotent,
 }
 
 /// One operation's settings and the last few samples of what its runs took.
+#[derive(Default)]
 struct Operation {
     kind: Kind,
     objective: f64,
@@ -49,6 +52,7 @@
     until_probe: f64,
 }
 
+#[derive(Default)]
 struct Inv {
     told: Invocation,
     arrived: f64,
@@ -91,11 +95,12 @@
     ("tell checks and callers", Shedder::word_is_old, Shedder::tell),
 ];
 
+#[derive(Default)]
 pub struct Shedder {
     settings: Settings,
     now: f64,
     out: Decided,
-    rng: Pcg32,
+    rng: Option<Pcg32>,
     salt: u64,
     born: f64,
     leave_at: Option<(f64, f64)>,
@@ -145,32 +150,8 @@
                 return Err(format!("setting {name}={text:?} is no number"));
             }
         }
-        let mut new = Shedder {
-            settings,
-            now,
-            out: Decided::default(),
-            rng: Pcg32::seed_from_u64(seed),
-            salt: seed,
-            born: now,
-            leave_at: None,
-            ops: Vec::new(),
-            invs: Vec::new(),
-            live: Vec::new(),
-            unrun: Vec::new(),
-            limit: 0.0,
-            busy: 0.0,
-            busy_at: now,
-            progress: now,
-            entries: VecDeque::new(),
-            calls: VecDeque::new(),
-            call_failures: 0,
-            call_failed_at: now,
-            arrivals: BTreeMap::new(),
-            turned: VecDeque::new(),
-            level: 0.0,
-            level_at: now,
-            told: None,
-        };
+        let mut new = Shedder { settings, now, salt: seed, born: now, busy_at: now, ..Shedder::default() };
+        new.rng = Some(Pcg32::seed_from_u64(seed));
         for op in 0..new.num("Classes.count", 0.0) as usize {
             let operation = new.operation(op);
             new.ops.push(operation);
@@ -205,10 +186,7 @@
             window: self.secs(&path("MemorySpanUs"), 0.0),
             skip_value: listed("FamilyInfo.ClassSkipWorth").parse().unwrap_or(0.0),
             calls: matches!(listed("FamilyInfo.ClassCalls").as_str(), "true" | "1"),
-            runs: VecDeque::new(),
-            below: VecDeque::new(),
-            lowest: f64::INFINITY,
-            until_probe: 0.0,
+            ..Operation::default()
         }
     }
 
@@ -232,23 +210,7 @@
         if self.invs.len() <= inv {
             self.invs.resize_with(inv + 1, || None);
         }
-        self.invs[inv] = Some(Inv {
-            told,
-            arrived,
-            due,
-            by,
-            stage: Stage::Read,
-            since: now,
-            began: now,
-            away: 0.0,
-            answered: false,
-            stopping: false,
-            ran: false,
-            entry: false,
-            over_share,
-            calls: 0,
-            unsure: false,
-        });
+        self.invs[inv] = Some(Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() });
         self.live.push(inv);
         self.turned.push_back(false);
         if self.turned.len() > 32 {
@@ -451,7 +413,7 @@
             // Half the work in hand, spread by chance so that callers don't come back together.
             let clear: f64 =
                 self.live.iter().map(|&i| self.core_time(self.inv(i))).sum::<f64>() / self.cores();
-            (clear * self.rng.random_range(0.25..0.75)).min(most)
+            (clear * (0.25 + 0.5 * self.chance())).min(most)
         };
         self.out.throttled.push((inv, away, false));
         if let Some(last) = self.turned.back_mut() {
@@ -558,7 +520,7 @@
         let (op, arrived) = (self.inv(inv).told.operation, self.inv(inv).arrived);
         let share_for = self.secs("FamilyInfo.ShareForUs", 0.0);
         let it = self.inv_mut(inv);
-        (it.stage, it.since) = (Stage::Held, it.since);
+        it.stage = Stage::Held;
         let (subject, due) = (it.told.has_subject, it.due);
         if self.tokened(inv) {
             self.inv_mut(inv).entry = true;
@@ -593,7 +555,8 @@
         }
         let free = 0.9 * heap - self.memory();
         // Behind a jam below, work that calls only fills memory; half the cores' number may wait there.
-        let jam = below as f64 >= self.cores();
+        let stuck = |it: &Inv| it.stage == Stage::AtCall && self.ops[it.told.operation].skip_value == 0.0;
+        let jam = self.count(stuck) as f64 >= 0.5 * self.cores();
         let fits = |it: &Inv| {
             let op = &self.ops[it.told.operation];
             let blocked = op.calls && op.skip_value == 0.0 && (jam || self.call_failures >= Self::BREAK_AT);
@@ -645,7 +608,7 @@
         let span = now - times[0];
         let rate = times.len() as f64 / span.max(0.5) * servers;
         // 24 arrivals stray by a fifth of their number.
-        rate > 1.2 * quota && self.rng.random::<f64>() < 1.0 - quota / rate
+        rate > 1.2 * quota && self.chance() < 1.0 - quota / rate
     }
 
     // ---- calls below ----
@@ -712,7 +675,9 @@
         self.first(|it| {
             let op = &self.ops[it.told.operation];
             let late = self.now + mean(&op.below) + 0.5 * self.core_time(it) > it.by;
-            let skip = !self.may_call(it) || self.breaker_holds() || late;
+            let dearer = |one: &Inv| one.stage == Stage::AtCall && self.stake(one) > self.stake(it);
+            let short = self.room_below() == 0.0 && self.first(dearer).is_some();
+            let skip = !self.may_call(it) || self.breaker_holds() || late || short;
             it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip
         })
     }
@@ -723,12 +688,18 @@
         self.out.degraded.push(inv);
     }
 
+    /// Billed value that is lost with the call.
+    fn stake(&self, it: &Inv) -> f64 {
+        let op = &self.ops[it.told.operation];
+        self.density(it) * self.core_time(it).max(1e-3) * (1.0 - op.skip_value)
+    }
+
     fn call_to_make(&self) -> Option<usize> {
         let waiting = |it: &Inv| it.stage == Stage::AtCall && !it.answered && self.may_call(it);
         let open = self.live.iter().copied().filter(|&inv| waiting(self.inv(inv)));
         let best = open.max_by(|&a, &b| {
             let (a, b) = (self.inv(a), self.inv(b));
-            self.density(a).total_cmp(&self.density(b)).then(b.by.total_cmp(&a.by))
+            self.stake(a).total_cmp(&self.stake(b)).then(b.by.total_cmp(&a.by))
         })?;
         (self.room_below() > 0.0 && !self.breaker_holds()).then_some(best)
     }
@@ -850,6 +821,10 @@
         self.ops[self.inv(inv).told.operation].kind == Kind::Tokened
     }
 
+    fn chance(&mut self) -> f64 {
+        self.rng.as_mut().map_or(0.5, |rng| rng.random())
+    }
+
     fn cores(&self) -> f64 {
         self.num("FamilyInfo.Cores", 1.0).max(1.0)
     }
