Expect run times from sums of durations and of hints

A mean of ratios overstates the time where hints are rough, and mixed units in the check for a hang.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -44,8 +44,9 @@
     window: f64,
     skip_value: f64,
     calls: bool,
-    /// Run durations without calls, for each unit of hinted cost where there are hints.
+    /// Run durations without calls, and the hinted costs of those runs (1 where there are no hints).
     runs: VecDeque<f64>,
+    costs: VecDeque<f64>,
     /// Time at calls and waiting for them, by run.
     below: VecDeque<f64>,
     lowest: f64,
@@ -233,7 +234,7 @@
             self.progress = now;
         }
         if outcome.succeeded && !joined && !abandoned {
-            self.measured(op, (took - away).max(1e-6) / cost, away);
+            self.measured(op, (took - away).max(1e-6), cost, away);
         }
         // A read's answer may serve others for a while where that is allowed.
         let share_for = self.secs("FamilyInfo.ShareForUs", 0.0);
@@ -300,7 +301,7 @@
 
     /// The Vegas update at a finish, on a duration without calls and, where hinted, by unit of cost, so
     /// that a long invocation does not read as a queue.
-    fn measured(&mut self, op: usize, duration: f64, below: f64) {
+    fn measured(&mut self, op: usize, took: f64, cost: f64, below: f64) {
         // The design's 3 and 6 take every run above the shortest for a queue; durations here vary by more
         // than a half of their mean, which alone makes 7/10 of the limit look queued.
         const ALPHA: f64 = 8.0;
@@ -309,7 +310,9 @@
         const PROBE: f64 = 30.0;
         let (limit, most) = (self.limit, self.survivable());
         let it = &mut self.ops[op];
-        sample(&mut it.runs, duration);
+        let duration = took / cost;
+        sample(&mut it.runs, took);
+        sample(&mut it.costs, cost);
         sample(&mut it.below, below);
         it.until_probe -= 1.0;
         if it.until_probe <= 0.0 {
@@ -588,7 +591,8 @@
     }
 
     fn core_time(&self, it: &Inv) -> f64 {
-        mean(&self.ops[it.told.operation].runs) * it.told.cost.unwrap_or(1.0)
+        let op = &self.ops[it.told.operation];
+        mean(&op.runs) / mean(&op.costs).max(1e-9) * it.told.cost.unwrap_or(1.0)
     }
 
     fn whole_time(&self, it: &Inv) -> f64 {
