Bound calls in flight by a second Vegas limit on recent call times

Also guards against a slow or shrunken dependency; could hold calls back for a while after it has turned slower for good.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -118,6 +118,11 @@
     entries: VecDeque<(f64, usize)>,
     /// Start and end of the last calls, ends of abandoned ones including their stay below.
     calls: VecDeque<(f64, f64)>,
+    /// Durations of the last calls that went well, the lowest mean of them, calls until it is taken anew.
+    call_times: VecDeque<f64>,
+    call_lowest: f64,
+    call_probe: u32,
+    call_limit: f64,
     call_failures: u32,
     call_failed_at: f64,
     arrivals: BTreeMap<usize, VecDeque<f64>>,
@@ -158,6 +163,7 @@
             new.ops.push(operation);
         }
         new.limit = new.cores();
+        new.call_limit = (new.num("FamilyInfo.CallShare", f64::INFINITY) / 2.0).max(1.0);
         new.out.wake.push((Self::BEAT, 0));
         // Idle connections tax the cores, opening one costs about a tenth of a run: a third of the callers'
         // own idle time keeps those in use and lets those of a burst go.
@@ -633,6 +639,7 @@
             self.calls.push_back((since, if lingers { now + stays } else { now }));
             if outcome.succeeded {
                 self.call_failures = 0;
+                self.call_measured(now - since);
             } else if !outcome.stopped {
                 self.call_failures += 1;
                 self.call_failed_at = now;
@@ -640,6 +647,35 @@
         }
     }
 
+    /// The Vegas update for calls: what lies below slows well before its told share is full, and whatever
+    /// crowds it (other backends too) shows in the mean of the last calls against the lowest such mean.
+    /// Guards against a slow, crowded or shrunken dependency; harm: holds calls back for a time after it
+    /// has turned slower for good, until the lowest is taken anew.
+    fn call_measured(&mut self, took: f64) {
+        // Single call times scatter about as much as their mean, the mean of 24 by a fifth: a third more
+        // than the lowest may be chance, twice as much is not.
+        const ALPHA: f64 = 0.25;
+        const BETA: f64 = 0.5;
+        sample(&mut self.call_times, took);
+        if self.call_times.len() < 12 {
+            return;
+        }
+        let recent = mean(&self.call_times);
+        self.call_probe = self.call_probe.saturating_sub(1);
+        if self.call_probe == 0 {
+            (self.call_lowest, self.call_probe) = (recent, 400);
+        }
+        self.call_lowest = self.call_lowest.min(recent);
+        let queued = 1.0 - self.call_lowest / recent;
+        if queued < ALPHA {
+            self.call_limit += 0.1;
+        } else if queued > BETA {
+            self.call_limit -= 0.1;
+        }
+        let most = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8;
+        self.call_limit = self.call_limit.min(most).max(1.0);
+    }
+
     /// Time that calls may still take below in this window: the told share less what they have taken,
     /// abandoned ones with their stay, less a part for what others' cold starts add.
     fn room_below(&self) -> f64 {
@@ -650,7 +686,7 @@
         let open = self.live.iter().map(|&inv| self.inv(inv)).filter(|it| it.stage == Stage::Calling);
         let (count, taken) = open.fold((0, 0.0), |(n, t), it| (n + 1, t + self.now - it.since.max(from)));
         let lingering = self.calls.iter().filter(|&&(_, end)| end > self.now).count();
-        if (count + lingering) as f64 >= share.floor().max(1.0) {
+        if (count + lingering) as f64 >= self.call_limit.round().min(share.floor()).max(1.0) {
             return 0.0;
         }
         (share * window - past - taken - self.secs("FamilyInfo.StaysForUs", 0.0)).max(0.0)
