--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -75,13 +75,20 @@
     unsure: bool,
 }
 
+const BEAT: f64 = 0.01; // between looks at the clock: well under any slack, 100 cheap timers a second
+const MARGIN: f64 = 0.02; // two beats before what is due
+
 type Rule = (&'static str, fn(&Shedder) -> Option<usize>, fn(&mut Shedder, usize));
 
 /// All that is decided, in order of precedence.
 const RULES: &[Rule] = &[
-    ("answer what falls due", Shedder::falls_due, Shedder::give_up),
+    (
+        "answer what falls due",
+        |s| s.first(|it| !it.answered && s.now + MARGIN >= s.due(it)),
+        Shedder::give_up,
+    ),
     ("stop work that nobody waits for", Shedder::unwanted_run, Shedder::stop),
-    ("join repeats", Shedder::repeat, Shedder::join),
+    ("join repeats", |s| s.first(|it| it.stage == Stage::Read && it.told.repeats), Shedder::join),
     ("turn away after the grace", Shedder::after_grace, Shedder::throttle),
     ("keep within memory", Shedder::over_memory, Shedder::throttle),
     ("raise the limit while cores idle", Shedder::cores_idle, Shedder::raise),
@@ -106,7 +113,7 @@
     born: f64,
     leave_at: Option<(f64, f64)>,
     ops: Vec<Operation>,
-    invs: Vec<Option<Inv>>,
+    invs: Vec<Inv>,
     /// Numbers of live invocations in order of arrival.
     live: Vec<usize>,
     /// Those turned away unrun at this very time: a repeat read with them starts afresh.
@@ -130,7 +137,7 @@
     turned: VecDeque<bool>,
     level: f64,
     level_at: f64,
-    told: Option<(bool, f64)>,
+    told: Option<(bool, Option<f64>)>,
 }
 
 /// Keeps the last few samples. 24 spans a second or two of a busy operation: recent, not jumpy.
@@ -164,7 +171,7 @@
         }
         new.limit = new.cores();
         new.call_limit = (new.num("FamilyInfo.CallShare", f64::INFINITY) / 2.0).max(1.0);
-        new.out.wake.push((Self::BEAT, 0));
+        new.out.wake.push((BEAT, 0));
         // Idle connections tax the cores, opening one costs about a tenth of a run: a third of the callers'
         // own idle time keeps those in use and lets those of a burst go.
         let idle = new.secs("FamilyInfo.CallerIdleUs", 0.0);
@@ -215,9 +222,9 @@
         // A repeat of what was turned away unrun in this very batch is a first try.
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
         if self.invs.len() <= inv {
-            self.invs.resize_with(inv + 1, || None);
+            self.invs.resize_with(inv + 1, Inv::default);
         }
-        self.invs[inv] = Some(Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() });
+        self.invs[inv] = Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() };
         self.live.push(inv);
         self.turned.push_back(false);
         if self.turned.len() > 32 {
@@ -228,27 +235,21 @@
 
     pub fn ended(&mut self, now: f64, inv: usize, outcome: Outcome, took: f64) -> Decided {
         self.at(now);
-        if self.get(inv).is_none() {
+        if !self.lives(inv) {
             return self.settle();
         }
         self.leave_call(inv, outcome);
         let it = self.inv(inv);
-        let (op, joined, away, abandoned) =
-            (it.told.operation, it.stage == Stage::Joined, it.away, it.stopping);
-        let cost = it.told.cost.unwrap_or(1.0);
-        if !joined {
+        let (op, away, cost, entry) = (it.told.operation, it.away, it.told.cost.unwrap_or(1.0), it.entry);
+        if it.stage != Stage::Joined {
             self.progress = now;
-        }
-        if outcome.succeeded && !joined && !abandoned {
-            self.measured(op, (took - away).max(1e-6), cost, away);
+            if outcome.succeeded && !self.inv(inv).stopping {
+                self.measured(op, (took - away).max(1e-6), cost, away);
+            }
         }
         // A read's answer may serve others for a while where that is allowed.
         let share_for = self.secs("FamilyInfo.ShareForUs", 0.0);
-        if outcome.succeeded
-            && share_for > 0.0
-            && self.inv(inv).entry
-            && self.ops[op].kind == Kind::Idempotent
-        {
+        if outcome.succeeded && share_for > 0.0 && entry && self.ops[op].kind == Kind::Idempotent {
             self.keep(inv, share_for);
         }
         self.release(inv);
@@ -257,18 +258,17 @@
 
     pub fn caller_left(&mut self, now: f64, inv: usize) -> Decided {
         self.at(now);
-        if let Some(it) = self.get_mut(inv) {
-            it.answered = true;
-            if matches!(it.stage, Stage::Read | Stage::Held | Stage::Joined) {
-                self.release(inv);
-            }
+        if self.lives(inv) {
+            self.inv_mut(inv).answered = true;
+            self.drop_waiting(inv);
         }
         self.settle()
     }
 
     pub fn wants_call(&mut self, now: f64, inv: usize) -> Decided {
         self.at(now);
-        if let Some(it) = self.get_mut(inv) {
+        if self.lives(inv) {
+            let it = self.inv_mut(inv);
             (it.stage, it.since) = (Stage::AtCall, now);
             self.progress = now;
         }
@@ -277,7 +277,7 @@
 
     pub fn call_ended(&mut self, now: f64, inv: usize, outcome: Outcome, _took: f64) -> Decided {
         self.at(now);
-        if self.get(inv).is_some_and(|it| it.stage == Stage::Calling) {
+        if self.lives(inv) && self.inv(inv).stage == Stage::Calling {
             self.leave_call(inv, outcome);
             let it = self.inv_mut(inv);
             it.unsure = !outcome.succeeded && !outcome.never_ran;
@@ -299,7 +299,7 @@
         if let Some(&busy) = gauges.get("cpu_busy") {
             (self.busy, self.busy_at) = (busy.clamp(0.0, 1.0), now);
         }
-        self.out.wake.push((Self::BEAT, 0));
+        self.out.wake.push((BEAT, 0));
         self.settle()
     }
 
@@ -383,16 +383,9 @@
 
     // ---- answers ----
 
-    const BEAT: f64 = 0.01; // between looks at the clock: well under any slack, 100 cheap timers a second
-    const MARGIN: f64 = 0.02; // two beats before what is due
-
-    fn falls_due(&self) -> Option<usize> {
-        self.first(|it| !it.answered && self.now + Self::MARGIN >= self.due(it))
-    }
-
     /// One place for due times: the budget or the client timeout, and the stop of a leaving process.
     fn due(&self, it: &Inv) -> f64 {
-        self.leave_at.map_or(it.due, |(_, stop)| it.due.min(stop - Self::MARGIN))
+        self.leave_at.map_or(it.due, |(_, stop)| it.due.min(stop - MARGIN))
     }
 
     /// The final answer to what can't be had any more: turned away if it never ran, else errored. A joined
@@ -403,27 +396,17 @@
             return self.throttle(inv);
         }
         it.answered = true;
-        let gone = matches!(it.stage, Stage::Read | Stage::Held | Stage::Joined);
         self.out.errored.push(inv);
-        if gone {
-            self.release(inv);
-        }
+        self.drop_waiting(inv);
     }
 
     fn throttle(&mut self, inv: usize) {
-        let most = if self.text("Allowed.RetryAfter") == "true" {
-            self.secs("Allowed.MaxRetryAfterUs", 0.0)
-        } else {
-            0.0
-        };
-        let away = if self.leave_at.is_some() {
-            most
-        } else {
-            // Half the work in hand, spread by chance so that callers don't come back together.
-            let clear: f64 =
-                self.live.iter().map(|&i| self.core_time(self.inv(i))).sum::<f64>() / self.cores();
-            (clear * (0.25 + 0.5 * self.chance())).min(most)
-        };
+        let allowed = self.text("Allowed.RetryAfter") == "true";
+        let most = if allowed { self.secs("Allowed.MaxRetryAfterUs", 0.0) } else { 0.0 };
+        // Half the work in hand, spread by chance so that callers don't come back together.
+        let work: f64 = self.live.iter().map(|&i| self.core_time(self.inv(i))).sum();
+        let clear = work / self.cores() * (0.25 + 0.5 * self.chance());
+        let away = if self.leave_at.is_some() { most } else { clear.min(most) };
         self.out.throttled.push((inv, away, false));
         if let Some(last) = self.turned.back_mut() {
             *last = true;
@@ -437,12 +420,10 @@
     }
 
     fn unwanted_run(&self) -> Option<usize> {
-        if !matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze") {
-            return None;
-        }
+        let offered = matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze");
         self.first(|it| {
             let waste = it.answered && it.stage == Stage::Running && !it.stopping;
-            waste && self.ops[it.told.operation].kind == Kind::Idempotent
+            offered && waste && self.ops[it.told.operation].kind == Kind::Idempotent
         })
     }
 
@@ -453,10 +434,6 @@
 
     // ---- repeats ----
 
-    fn repeat(&self) -> Option<usize> {
-        self.first(|it| it.stage == Stage::Read && it.told.repeats)
-    }
-
     fn join(&mut self, inv: usize) {
         self.inv_mut(inv).stage = Stage::Joined;
         self.out.joined.push(inv);
@@ -496,14 +473,10 @@
     /// How many may be on the cores or about to come back to them: the told crowd, of a cold process only
     /// what its least possible speed lets it survive.
     fn survivable(&self) -> f64 {
-        let warm = match self.text("FamilyInfo.FreshStart") {
-            "true" | "1" => {
-                let from = self.num("Rules.StartCapacity", 0.0);
-                let over = self.secs("Rules.WarmUpUs", 0.0).max(1e-6);
-                (from + (1.0 - from) * (self.now - self.born) / over).min(1.0)
-            }
-            _ => 1.0,
-        };
+        let from = self.num("Rules.StartCapacity", 0.0);
+        let over = self.secs("Rules.WarmUpUs", 0.0).max(1e-6);
+        let cold = self.text("FamilyInfo.FreshStart") == "true";
+        let warm = if cold { (from + (1.0 - from) * (self.now - self.born) / over).min(1.0) } else { 1.0 };
         let crowd = self.cores() * (1.0 + (self.num("Rules.FallMultiple", 2.0) - 1.0) * warm);
         (crowd * 0.9).floor().max(1.0) // a tenth less, since the mean is taken over finer steps than ours
     }
@@ -525,22 +498,24 @@
         })
     }
 
+    /// Tokened ones enter the table for their window, reads with a subject until due where answers may serve
+    /// others and the table leaves most of the memory to work.
     fn hold(&mut self, inv: usize) {
-        let (op, arrived) = (self.inv(inv).told.operation, self.inv(inv).arrived);
-        let share_for = self.secs("FamilyInfo.ShareForUs", 0.0);
-        let it = self.inv_mut(inv);
-        it.stage = Stage::Held;
-        let (subject, due) = (it.told.has_subject, it.due);
-        if self.tokened(inv) {
-            self.inv_mut(inv).entry = true;
-            self.keep(inv, (arrived + self.ops[op].window - self.now).max(0.0) + 0.001);
-        } else if self.ops[op].kind == Kind::Idempotent && share_for > 0.0 && subject {
-            // Only while the table leaves most of the memory to work.
-            let entries = (self.entries.len() + 1) as f64 * self.num("FamilyInfo.KeyKb", 0.0);
-            if entries < 0.2 * self.num("FamilyInfo.HeapKb", 0.0) {
-                self.inv_mut(inv).entry = true;
-                self.keep(inv, due - self.now);
+        let it = self.inv(inv);
+        let op = &self.ops[it.told.operation];
+        let shares = self.secs("FamilyInfo.ShareForUs", 0.0) > 0.0 && it.told.has_subject;
+        let table = (self.entries.len() + 1) as f64 * self.num("FamilyInfo.KeyKb", 0.0);
+        let span = match op.kind {
+            Kind::Tokened => (it.arrived + op.window - self.now).max(0.0) + 0.001,
+            Kind::Idempotent if shares && table < 0.2 * self.num("FamilyInfo.HeapKb", 0.0) => {
+                it.due - self.now
             }
+            _ => 0.0,
+        };
+        let it = self.inv_mut(inv);
+        (it.stage, it.entry) = (Stage::Held, span > 0.0);
+        if span > 0.0 {
+            self.keep(inv, span);
         }
     }
 
@@ -571,11 +546,7 @@
             let blocked = op.calls && op.skip_value == 0.0 && (jam || self.call_failures >= Self::BREAK_AT);
             it.stage == Stage::Held && !blocked && it.told.held_kb * (factor - 1.0) <= free
         };
-        let held = self.live.iter().copied().filter(|&inv| fits(self.inv(inv)));
-        held.max_by(|&a, &b| {
-            let (a, b) = (self.inv(a), self.inv(b));
-            self.density(a).total_cmp(&self.density(b)).then(b.by.total_cmp(&a.by))
-        })
+        self.best(fits, |it| self.density(it))
     }
 
     fn begin(&mut self, inv: usize) {
@@ -629,11 +600,9 @@
         let (now, stays) = (self.now, self.secs("FamilyInfo.StaysForUs", 0.0));
         let it = self.inv_mut(inv);
         let (stage, since) = (it.stage, it.since);
-        if !matches!(stage, Stage::AtCall | Stage::Calling) {
-            return;
+        if matches!(stage, Stage::AtCall | Stage::Calling) {
+            (it.away, it.since) = (it.away + now - since, now);
         }
-        it.away += now - since;
-        it.since = now;
         if stage == Stage::Calling {
             let lingers = !outcome.succeeded && !outcome.never_ran;
             self.calls.push_back((since, if lingers { now + stays } else { now }));
@@ -736,11 +705,7 @@
 
     fn call_to_make(&self) -> Option<usize> {
         let waiting = |it: &Inv| it.stage == Stage::AtCall && !it.answered && self.may_call(it);
-        let open = self.live.iter().copied().filter(|&inv| waiting(self.inv(inv)));
-        let best = open.max_by(|&a, &b| {
-            let (a, b) = (self.inv(a), self.inv(b));
-            self.stake(a).total_cmp(&self.stake(b)).then(b.by.total_cmp(&a.by))
-        })?;
+        let best = self.best(waiting, |it| self.stake(it))?;
         (self.room_below() > 0.0 && !self.breaker_holds()).then_some(best)
     }
 
@@ -778,22 +743,15 @@
         self.turned.clear();
         self.level_at = self.now;
         let (good, level) = (self.good(), if self.good() { self.level } else { 1.0 });
-        let said = match self.text("FamilyInfo.Say") {
+        let each = 2.0 * self.limit / self.num("FamilyInfo.ClientsTotal", 1.0).max(1.0);
+        let value = match self.text("FamilyInfo.Say") {
             "floor" => Some(level.min(0.999)),
             "weight" => Some(1.0 - level),
-            "allowance" => {
-                let each = self.limit / self.num("FamilyInfo.ClientsTotal", 1.0).max(1.0);
-                Some((2.0 * each * (1.0 - level)).max(0.0))
-            }
+            "allowance" => Some(each * (1.0 - level)),
             _ => None,
         };
-        if self.told.is_none_or(|(was, _)| was != good) {
-            self.out.health = Some(good);
-        }
-        let value = said.unwrap_or(-1.0);
-        if value >= 0.0 && self.told.is_none_or(|(_, was)| was != value) {
-            self.out.level = Some(value);
-        }
+        self.out.health = Some(good).filter(|_| self.told.is_none_or(|(was, _)| was != good));
+        self.out.level = value.filter(|_| self.told.is_none_or(|(_, was)| was != value));
         self.told = Some((good, value));
     }
 
@@ -818,32 +776,43 @@
         self.calls.retain(|&(_, end)| end > from);
     }
 
+    fn drop_waiting(&mut self, inv: usize) {
+        if matches!(self.inv(inv).stage, Stage::Read | Stage::Held | Stage::Joined) {
+            self.release(inv);
+        }
+    }
+
     fn release(&mut self, inv: usize) {
-        self.invs[inv] = None;
         self.live.retain(|&one| one != inv);
         self.out.released.push(inv);
     }
 
-    fn get(&self, inv: usize) -> Option<&Inv> {
-        self.invs.get(inv)?.as_ref()
-    }
-
-    fn get_mut(&mut self, inv: usize) -> Option<&mut Inv> {
-        self.invs.get_mut(inv)?.as_mut()
+    /// Numbers of what is over may still come in for the rest of a batch.
+    fn lives(&self, inv: usize) -> bool {
+        self.live.contains(&inv)
     }
 
     fn inv(&self, inv: usize) -> &Inv {
-        self.get(inv).expect("a live invocation")
+        &self.invs[inv]
     }
 
     fn inv_mut(&mut self, inv: usize) -> &mut Inv {
-        self.get_mut(inv).expect("a live invocation")
+        &mut self.invs[inv]
     }
 
     fn first(&self, when: impl Fn(&Inv) -> bool) -> Option<usize> {
         self.live.iter().copied().find(|&inv| when(self.inv(inv)))
     }
 
+    /// The one of most worth, of these the one whose objective comes first.
+    fn best(&self, when: impl Fn(&Inv) -> bool, worth: impl Fn(&Inv) -> f64) -> Option<usize> {
+        let all = self.live.iter().copied().filter(|&inv| when(self.inv(inv)));
+        all.max_by(|&a, &b| {
+            let (a, b) = (self.inv(a), self.inv(b));
+            worth(a).total_cmp(&worth(b)).then(b.by.total_cmp(&a.by))
+        })
+    }
+
     fn count(&self, when: impl Fn(&Inv) -> bool) -> usize {
         self.live.iter().filter(|&&inv| when(self.inv(inv))).count()
     }
