--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -133,8 +133,8 @@
     call_failures: u32,
     call_failed_at: f64,
     arrivals: BTreeMap<usize, VecDeque<f64>>,
-    /// The last few arrivals: whether they were turned away.
-    turned: VecDeque<bool>,
+    /// The arrivals since callers were last told: whether they were turned away.
+    turned: Vec<bool>,
     level: f64,
     level_at: f64,
     told: Option<(bool, Option<f64>)>,
@@ -165,10 +165,7 @@
         }
         let mut new = Shedder { settings, now, salt: seed, born: now, busy_at: now, ..Shedder::default() };
         new.rng = Some(Pcg32::seed_from_u64(seed));
-        for op in 0..new.num("Classes.count", 0.0) as usize {
-            let operation = new.operation(op);
-            new.ops.push(operation);
-        }
+        new.ops = (0..new.num("Classes.count", 0.0).max(1.0) as usize).map(|op| new.operation(op)).collect();
         new.limit = new.cores();
         new.call_limit = (new.num("FamilyInfo.CallShare", f64::INFINITY) / 2.0).max(1.0);
         new.out.wake.push((BEAT, 0));
@@ -208,8 +205,7 @@
 
     pub fn arrived(&mut self, now: f64, inv: usize, mut told: Invocation) -> Decided {
         self.at(now);
-        let Some(last) = self.ops.len().checked_sub(1) else { return self.settle() };
-        told.operation = told.operation.min(last);
+        told.operation = told.operation.min(self.ops.len() - 1);
         let op = &self.ops[told.operation];
         let arrived = now - told.age;
         let mut due = arrived + op.timeout;
@@ -217,7 +213,9 @@
             due = now + budget;
         }
         let stretched = op.objective + op.stretch * told.cost.unwrap_or(0.0);
-        let by = (arrived + stretched.min(op.timeout)).min(due);
+        // Part of a further try's objective was spent elsewhere: 0.4, of 0 to 0.4 tried.
+        let left = if told.again { 0.6 } else { 1.0 };
+        let by = (arrived + stretched.min(op.timeout) * left).min(due);
         let over_share = self.beyond_share(told.customer);
         // A repeat of what was turned away unrun in this very batch is a first try.
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
@@ -226,10 +224,7 @@
         }
         self.invs[inv] = Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() };
         self.live.push(inv);
-        self.turned.push_back(false);
-        if self.turned.len() > 32 {
-            self.turned.pop_front();
-        }
+        self.turned.push(false); // cleared at every telling
         self.settle()
     }
 
@@ -340,8 +335,8 @@
     }
 
     fn cores_idle(&self) -> Option<usize> {
-        let room = self.in_hand() as f64 > self.limit && self.limit < self.survivable();
-        self.newly_read().filter(|_| room && self.load() <= Self::CUT_FROM)
+        let waits = self.in_hand() as f64 > self.limit && self.limit < self.survivable();
+        self.newly_read().filter(|_| waits && self.load() <= Self::CUT_FROM)
     }
 
     fn raise(&mut self, _: usize) {
@@ -408,7 +403,7 @@
         let clear = work / self.cores() * (0.25 + 0.5 * self.chance());
         let away = if self.leave_at.is_some() { most } else { clear.min(most) };
         self.out.throttled.push((inv, away, false));
-        if let Some(last) = self.turned.back_mut() {
+        if let Some(last) = self.turned.last_mut() {
             *last = true;
         }
         if self.inv(inv).entry {
@@ -559,10 +554,13 @@
         self.out.started.push(inv);
     }
 
-    /// Billed value by second of core.
+    /// Billed value by second of core. A marked further try has spent an unknown part of its objective
+    /// elsewhere, so that its answer is likelier to come too late: half. Guards against storms of retries
+    /// that take the cores from first tries; harm: one that was only turned away at once waits longer.
     fn density(&self, it: &Inv) -> f64 {
         let op = &self.ops[it.told.operation];
-        let share = if it.over_share { self.num("OverShareWorth", 1.0) } else { 1.0 };
+        let again = if it.told.again { 0.5 } else { 1.0 };
+        let share = again * if it.over_share { self.num("OverShareWorth", 1.0) } else { 1.0 };
         let work = if self.text("CountedBy") == "work" { 1.0 } else { self.core_time(it).max(1e-3) };
         op.value * share / work
     }
@@ -586,8 +584,7 @@
         let (now, servers) = (self.now, self.num("Servers", 1.0));
         let times = self.arrivals.entry(customer).or_default();
         sample(times, now);
-        let span = now - times[0];
-        let rate = times.len() as f64 / span.max(0.5) * servers;
+        let rate = times.len() as f64 / (now - times[0]).max(0.5) * servers;
         // 24 arrivals stray by a fifth of their number.
         rate > 1.2 * quota && self.chance() < 1.0 - quota / rate
     }
@@ -700,7 +697,7 @@
     /// Billed value that is lost with the call.
     fn stake(&self, it: &Inv) -> f64 {
         let op = &self.ops[it.told.operation];
-        self.density(it) * self.core_time(it).max(1e-3) * (1.0 - op.skip_value)
+        self.density(it) * (1.0 - op.skip_value)
     }
 
     fn call_to_make(&self) -> Option<usize> {
@@ -737,8 +734,8 @@
 
     fn tell(&mut self, _: usize) {
         // Rises fast while more than one in ten is turned away, and sinks slowly back.
-        let turned = self.turned.iter().filter(|&&turned| turned).count() as f64;
-        let more = turned > 0.1 * self.turned.len() as f64 && self.load() > Self::CUT_FROM;
+        let turned = self.turned.iter().filter(|&&turned| turned).count();
+        let more = turned * 10 > self.turned.len() && self.load() > Self::CUT_FROM;
         self.level = (self.level + if more { 0.05 } else { -0.025 }).clamp(0.0, 0.7);
         self.turned.clear();
         self.level_at = self.now;
