--- /dev/null
+++ b/crates/merlinshelf/tests/helpers/mod.rs
@@ -0,0 +1,130 @@
+//! Plays calls to one instance and keeps a line of trace for each that decided something.
+
+use std::collections::BTreeMap;
+
+use merlinshelf::{Decided, Invocation, Outcome, Settings, Shedder};
+
+pub struct Play {
+    pub shedder: Shedder,
+    pub trace: String,
+}
+
+pub const OK: Outcome = Outcome { succeeded: true, never_ran: false, stopped: false };
+pub const LOST: Outcome = Outcome { succeeded: false, never_ran: false, stopped: false };
+pub const UNSEEN: Outcome = Outcome { succeeded: false, never_ran: true, stopped: false };
+
+/// Two cores and three operations: 0 idempotent and skippable, 1 tokened, 2 non-idempotent.
+pub fn play(extra: &[(&str, &str)]) -> Play {
+    let mut settings = Settings::new();
+    let base = [
+        ("Classes.count", "3"),
+        ("Classes.0.Effect", "read_like"),
+        ("Classes.1.Effect", "idempotency_key"),
+        ("Classes.2.Effect", "non_idempotent"),
+        ("Classes.1.MemorySpanUs", "5000000"),
+        ("Classes.2.Worth", "3"),
+        ("FamilyInfo.Cores", "2"),
+        ("FamilyInfo.HeapKb", "10000"),
+        ("FamilyInfo.RunFactor", "4"),
+        ("FamilyInfo.KeyKb", "100"),
+        ("FamilyInfo.CallShare", "2.5"),
+        ("FamilyInfo.StaysForUs", "200000"),
+        ("FamilyInfo.ClassCalls", "true,true,true"),
+        ("FamilyInfo.ClassSkipWorth", "0.5,0,0"),
+        ("Rules.FallMultiple", "4"),
+        ("Rules.DrainGraceUs", "1000000"),
+        ("Allowed.RetryAfter", "true"),
+        ("Allowed.MaxRetryAfterUs", "1000000"),
+    ];
+    for (name, value) in base.iter().chain(extra) {
+        settings.insert((*name).to_owned(), (*value).to_owned());
+    }
+    for op in 0..3 {
+        settings.entry(format!("Classes.{op}.AimUs")).or_insert("1000000".into());
+        settings.entry(format!("Classes.{op}.DeadlineUs")).or_insert("2000000".into());
+    }
+    let (shedder, decided) = Shedder::start(100.0, 7, settings).expect("good settings");
+    let mut play = Play { shedder, trace: String::new() };
+    play.note("start", &decided);
+    play
+}
+
+/// Cuts the digits of fractions after the third.
+fn rounded(text: &str) -> String {
+    let mut after_point = None;
+    let mut out = String::new();
+    for c in text.replace("-0.0", "0.0").chars() {
+        after_point = match (after_point, c) {
+            (_, '.') => Some(0),
+            (Some(digits), '0'..='9') => Some(digits + 1),
+            _ => None,
+        };
+        if after_point.unwrap_or(0) <= 3 {
+            out.push(c);
+        }
+    }
+    out
+}
+
+impl Play {
+    fn note(&mut self, what: &str, decided: &Decided) {
+        let shown = Decided { wake: Vec::new(), released: Vec::new(), ..decided.clone() };
+        let fields = rounded(&format!("{shown:?}").replace("Decided { ", "").replace(" }", ""));
+        let told: Vec<&str> = fields.split(", ").collect();
+        let mut line = String::new();
+        let mut depth = 0;
+        let mut field = String::new();
+        for part in told {
+            field.push_str(if field.is_empty() { "" } else { ", " });
+            field.push_str(part);
+            depth += part.matches(['[', '(']).count() as i32 - part.matches([']', ')']).count() as i32;
+            if depth == 0 {
+                if !field.ends_with(": []") && !field.ends_with("None") {
+                    line.push_str(&format!(" {field};"));
+                }
+                field.clear();
+            }
+        }
+        self.trace.push_str(&format!("{what} ->{line}\n"));
+    }
+
+    pub fn arrive(&mut self, at: f64, inv: usize, told: Invocation) {
+        let decided = self.shedder.arrived(100.0 + at, inv, told);
+        self.note(&format!("{at:.2} arrives {inv}"), &decided);
+    }
+
+    pub fn end(&mut self, at: f64, inv: usize, outcome: Outcome, took: f64) {
+        let decided = self.shedder.ended(100.0 + at, inv, outcome, took);
+        self.note(&format!("{at:.2} ends {inv}"), &decided);
+    }
+
+    pub fn wants(&mut self, at: f64, inv: usize) {
+        let decided = self.shedder.wants_call(100.0 + at, inv);
+        self.note(&format!("{at:.2} wants a call {inv}"), &decided);
+    }
+
+    pub fn called(&mut self, at: f64, inv: usize, outcome: Outcome) {
+        let decided = self.shedder.call_ended(100.0 + at, inv, outcome, 0.0);
+        self.note(&format!("{at:.2} call of {inv} ends"), &decided);
+    }
+
+    pub fn left(&mut self, at: f64, inv: usize) {
+        let decided = self.shedder.caller_left(100.0 + at, inv);
+        self.note(&format!("{at:.2} caller of {inv} left"), &decided);
+    }
+
+    pub fn leave(&mut self, at: f64, budget: f64) {
+        let decided = self.shedder.leave(100.0 + at, budget);
+        self.note(&format!("{at:.2} told to leave"), &decided);
+    }
+
+    pub fn wake(&mut self, at: f64, busy: f64) {
+        let gauges = BTreeMap::from([("cpu_busy".to_owned(), busy)]);
+        let decided = self.shedder.woken(100.0 + at, 0, &gauges);
+        self.note(&format!("{at:.2} woken, busy {busy}"), &decided);
+    }
+}
+
+pub fn inv(operation: usize) -> Invocation {
+    Invocation { operation, held_kb: 50.0, rank: 0.5, caller: 3, ..Invocation::default() }
+}
--- /dev/null
+++ b/crates/merlinshelf/tests/traces.rs
@@ -0,0 +1,268 @@
+//! Each test plays a few moments of one backend and compares what was decided with a kept trace.
+
+mod helpers;
+
+use helpers::{LOST, OK, UNSEEN, inv, play};
+use merlinshelf::{Invocation, Outcome};
+
+#[test]
+fn over_the_limit_low_bands_are_cut_on_arrival() {
+    let mut play = play(&[]);
+    play.wake(0.0, 0.95);
+    for number in 0..3 {
+        play.arrive(0.01, number, inv(0));
+    }
+    // 640 x (1 - 0.95^3) is 91: only the top band can pass.
+    play.arrive(0.02, 3, Invocation { rank: 0.1, ..inv(0) });
+    play.arrive(0.02, 4, Invocation { rank: 0.99, ..inv(2) });
+    play.wake(0.03, 0.7);
+    play.arrive(0.04, 5, Invocation { rank: 0.1, ..inv(0) });
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn an_old_gauge_or_a_hang_does_not_admit_everything() {
+    let mut play = play(&[]);
+    play.wake(0.0, 0.1);
+    for number in 0..4 {
+        play.arrive(0.01, number, inv(0));
+    }
+    play.wake(0.96, 0.0);
+    play.arrive(0.97, 4, inv(0));
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn answers_come_before_they_are_due() {
+    let mut play = play(&[("FamilyInfo.Halt", "freeze"), ("Classes.0.LateWorth", "0.2")]);
+    play.arrive(0.0, 0, Invocation { budget: Some(0.5), ..inv(0) });
+    play.arrive(0.0, 1, Invocation { age: 0.3, ..inv(2) });
+    play.wants(0.1, 1);
+    play.arrive(0.1, 2, Invocation { budget: Some(0.3), ..inv(2) });
+    play.arrive(0.1, 3, Invocation { budget: Some(0.3), ..inv(0) });
+    for beat in 0..170 {
+        play.wake(0.1 + f64::from(beat) * 0.01, 0.5);
+    }
+    play.trace = play.trace.lines().filter(|line| !line.ends_with("->")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn a_tokened_invocation_runs_once() {
+    let mut play = play(&[]);
+    play.arrive(0.0, 0, inv(1));
+    play.arrive(0.0, 1, Invocation { repeats: true, earlier: Some(0), ..inv(1) });
+    play.end(0.3, 0, OK, 0.3);
+    play.end(0.31, 1, OK, 0.01);
+    // Run and no longer known by its number: its result is all that can be had, also when leaving.
+    play.leave(0.4, 5.0);
+    play.arrive(2.0, 2, Invocation { repeats: true, ..inv(1) });
+    play.wake(3.99, 0.5);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn a_token_turned_away_unrun_starts_afresh_in_the_same_batch() {
+    let mut play = play(&[("FamilyInfo.HeapKb", "1000")]);
+    play.arrive(0.0, 0, Invocation { held_kb: 150.0, ..inv(0) });
+    play.arrive(0.0, 1, Invocation { held_kb: 250.0, ..inv(1) });
+    play.end(0.0, 0, OK, 0.1);
+    play.arrive(0.0, 2, Invocation { repeats: true, earlier: Some(1), ..inv(1) });
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn a_call_with_unknown_outcome_is_not_repeated_for_what_has_effects() {
+    let mut play = play(&[]);
+    play.arrive(0.0, 0, inv(2));
+    play.wants(0.1, 0);
+    play.called(0.2, 0, UNSEEN);
+    play.called(0.3, 0, LOST);
+    play.end(0.31, 0, Outcome { stopped: true, ..LOST }, 0.31);
+    play.arrive(0.4, 1, inv(0));
+    play.wants(0.5, 1);
+    play.called(0.6, 1, LOST);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn after_failures_in_a_row_calls_come_back_by_single_trials() {
+    let mut play = play(&[("FamilyInfo.CallShare", "20"), ("Classes.0.AimUs", "2000000")]);
+    for number in 0..5 {
+        let at = f64::from(number) * 0.02;
+        let number = number as usize;
+        play.arrive(at, number, inv(0));
+        play.wants(at, number);
+        play.called(at + 0.01, number, LOST);
+        play.left(at + 0.01, number);
+        play.end(at + 0.01, number, Outcome { stopped: true, ..LOST }, 0.01);
+    }
+    play.arrive(0.2, 5, inv(0));
+    play.wants(0.21, 5);
+    play.wake(0.65, 0.5);
+    play.arrive(0.7, 6, inv(0));
+    play.arrive(0.7, 7, inv(0));
+    play.wants(0.71, 6);
+    play.wants(0.72, 7);
+    play.called(0.73, 6, OK);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn scarce_calls_go_to_what_loses_most_without_them() {
+    let mut play = play(&[]);
+    play.arrive(0.0, 0, inv(0));
+    play.arrive(0.0, 1, inv(0));
+    play.wants(0.1, 0);
+    play.wants(0.1, 1);
+    play.arrive(0.2, 2, inv(2));
+    play.wants(0.3, 2);
+    play.called(0.4, 0, OK);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn abandoned_calls_count_while_they_stay_below() {
+    let mut play = play(&[
+        ("FamilyInfo.CallShare", "0.5"),
+        ("FamilyInfo.DepWindowUs", "1000000"),
+        ("Classes.2.AimUs", "2000000"),
+    ]);
+    play.arrive(0.0, 0, inv(2));
+    play.wants(0.1, 0);
+    play.left(0.15, 0);
+    play.end(0.15, 0, Outcome { stopped: true, ..LOST }, 0.15);
+    play.arrive(0.15, 1, inv(2));
+    play.wants(0.16, 1);
+    play.wake(0.25, 0.5);
+    play.wake(1.3, 0.5);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn calls_slow_with_their_crowd_and_the_limit_on_them_sinks() {
+    let mut play = play(&[("FamilyInfo.CallShare", "20"), ("FamilyInfo.Cores", "12")]);
+    let mut at = 0.0;
+    for round in 0..40 {
+        for number in 0..8 {
+            play.arrive(at, number, inv(2));
+            play.wants(at, number);
+        }
+        let took = if round < 4 { 0.02 } else { 0.08 };
+        for number in 0..8 {
+            play.called(at + took, number, OK);
+            play.end(at + took, number, OK, took + 0.001);
+        }
+        at += 0.2;
+    }
+    let calls = |round: usize| {
+        let from = format!("{:.2} ", round as f64 * 0.2);
+        let lines = play.trace.lines().filter(|line| line.starts_with(&from) && line.contains("wants"));
+        lines.filter(|line| line.contains("called")).count()
+    };
+    insta::assert_snapshot!(format!("calls at once: round 1 {}, round 30 {}", calls(1), calls(30)));
+}
+
+#[test]
+fn a_leaving_backend_runs_nothing_from_after_the_grace_and_answers_all() {
+    let mut play = play(&[]);
+    play.arrive(0.0, 0, inv(0));
+    play.arrive(0.0, 1, inv(2));
+    play.leave(0.1, 1.5);
+    play.arrive(0.9, 2, Invocation { age: 0.05, ..inv(0) });
+    play.arrive(1.2, 3, inv(0));
+    play.wake(1.59, 0.5);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn memory_and_crowd_hold_back_starts_sooner_while_cold() {
+    let cold = [
+        ("FamilyInfo.FreshStart", "true"),
+        ("Rules.WarmUpUs", "10000000"),
+        ("Rules.StartCapacity", "0.1"),
+        ("FamilyInfo.CallShare", "100"),
+    ];
+    for at in [0.0, 12.0] {
+        let mut play = play(&cold);
+        play.wake(at, 0.5);
+        for number in 0..9 {
+            play.arrive(at, number, inv(2));
+            play.wants(at, number);
+        }
+        let started = play.trace.matches("started").count();
+        insta::assert_snapshot!(format!("crowd_at_{at}"), format!("started before any came back: {started}"));
+    }
+    let mut play = play(&[("FamilyInfo.HeapKb", "700")]);
+    for number in 0..9 {
+        play.arrive(0.0, number, inv(0));
+    }
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn customers_over_their_share_are_cut_first() {
+    let shares = [
+        ("Tenants.count", "2"),
+        ("Tenants.0.QuotaPerS", "10"),
+        ("Tenants.1.QuotaPerS", "900"),
+        ("Servers", "2"),
+    ];
+    let mut play = play(&shares);
+    play.wake(0.0, 0.85);
+    for number in 0..40 {
+        let at = 0.005 * number as f64;
+        play.arrive(at, number, Invocation { customer: number % 2, rank: 0.7, ..inv(0) });
+    }
+    let trace = &play.trace;
+    let cut =
+        |rest: usize| (0..40).filter(move |n| n % 2 == rest && trace.contains(&format!("throttled: [({n},")));
+    insta::assert_snapshot!(format!(
+        "cut: {} of the one over its share, {} of the other",
+        cut(0).count(),
+        cut(1).count()
+    ));
+}
+
+#[test]
+fn further_tries_wait_behind_first_ones() {
+    let mut play = play(&[]);
+    play.arrive(0.0, 0, inv(0));
+    play.arrive(0.0, 1, inv(0));
+    play.arrive(0.1, 2, Invocation { again: true, ..inv(0) });
+    play.arrive(0.2, 3, inv(0));
+    play.end(0.3, 0, OK, 0.3);
+    play.end(0.31, 1, OK, 0.31);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn short_waits_of_callers_are_no_reason_to_turn_away_with_idle_cores() {
+    let mut play = play(&[]);
+    play.arrive(0.0, 0, inv(0));
+    play.end(0.6, 0, OK, 0.6);
+    play.arrive(1.0, 1, Invocation { budget: Some(0.4), ..inv(0) });
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn what_callers_are_told_follows_the_settings() {
+    let mut shown = String::new();
+    for say in ["silent", "floor", "allowance", "weight"] {
+        let extra = [
+            ("FamilyInfo.Say", say),
+            ("FamilyInfo.CallerIdleUs", "30000000"),
+            ("FamilyInfo.ClientsTotal", "2"),
+        ];
+        let mut play = play(&extra);
+        play.leave(0.1, 1.0);
+        shown.push_str(&format!("{say}:\n{}", play.trace));
+    }
+    insta::assert_snapshot!(shown);
+}
+
+#[test]
+fn a_setting_that_cannot_be_read_is_named() {
+    let settings = [("FamilyInfo.Cores".to_owned(), "six".to_owned())].into();
+    insta::assert_snapshot!(merlinshelf::Shedder::start(0.0, 1, settings).err().unwrap_or_default());
+}
