Leave cores to reading, and let long runs show slowness at once

Also mended: with all operations calling below and the breaker open none was started for the trial, so that it never closed; tokens that leave unrun now leave the table.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -121,6 +121,8 @@
     limit: f64,
     busy: f64,
     busy_at: f64,
+    /// What else than runs needed a core at the last beats: reading, checks, new connections.
+    others: VecDeque<f64>,
     progress: f64,
     entries: VecDeque<(f64, usize)>,
     /// Start and end of the last calls, ends of abandoned ones including their stay below.
@@ -155,8 +157,7 @@
 impl Shedder {
     /// A new instance. Fails on a setting that it uses and cannot read, naming it.
     pub fn start(now: f64, seed: u64, settings: Settings) -> Result<(Self, Decided), String> {
-        let numeric =
-            ["Us", "Kb", "Worth", "Cores", "CallShare", "RunFactor", "FallMultiple", "count", "Total"];
+        let numeric = ["Us", "Kb", "Worth", "Cores", "CallShare", "Factor", "Multiple", "count", "Total"];
         for (name, text) in &settings {
             let number = numeric.iter().any(|end| name.ends_with(end)) && !name.ends_with("ClassSkipWorth");
             if number && text.parse::<f64>().map_or(true, |value| !value.is_finite()) {
@@ -171,10 +172,8 @@
         new.out.wake.push((BEAT, 0));
         // Idle connections tax the cores, opening one costs about a tenth of a run: a third of the callers'
         // own idle time keeps those in use and lets those of a burst go.
-        let idle = new.secs("FamilyInfo.CallerIdleUs", 0.0);
-        if idle > 0.0 {
-            new.out.trim_after = Some((idle / 3.0).max(0.01));
-        }
+        new.out.trim_after =
+            Some(new.secs("FamilyInfo.CallerIdleUs", 0.0) / 3.0).filter(|&idle| idle >= 0.01);
         let decided = new.settle();
         Ok((new, decided))
     }
@@ -208,10 +207,7 @@
         told.operation = told.operation.min(self.ops.len() - 1);
         let op = &self.ops[told.operation];
         let arrived = now - told.age;
-        let mut due = arrived + op.timeout;
-        if let Some(budget) = told.budget {
-            due = now + budget;
-        }
+        let due = told.budget.map_or(arrived + op.timeout, |budget| now + budget);
         let stretched = op.objective + op.stretch * told.cost.unwrap_or(0.0);
         // Part of a further try's objective was spent elsewhere: 0.4, of 0 to 0.4 tried.
         let left = if told.again { 0.6 } else { 1.0 };
@@ -294,6 +290,10 @@
         if let Some(&busy) = gauges.get("cpu_busy") {
             (self.busy, self.busy_at) = (busy.clamp(0.0, 1.0), now);
         }
+        if let Some(&all) = gauges.get("runnable") {
+            let others = (all - self.on_cores() as f64).max(0.0);
+            sample(&mut self.others, others);
+        }
         self.out.wake.push((BEAT, 0));
         self.settle()
     }
@@ -321,17 +321,9 @@
         }
         it.lowest = it.lowest.min(duration);
         let queue = limit * (1.0 - it.lowest / duration);
-        let step = limit.max(2.0).log10();
-        if queue < ALPHA * step {
-            self.limit += step;
-        } else if queue > BETA * step {
-            self.limit -= step;
-        }
-        self.limit = self.limit.min(most).max(self.cores());
-    }
-
-    fn newly_read(&self) -> Option<usize> {
-        self.first(|it| it.stage == Stage::Read)
+        let log = limit.max(2.0).log10();
+        let step = f64::from(u8::from(queue < ALPHA * log)) - f64::from(u8::from(queue > BETA * log));
+        self.limit = (limit + step * log).min(most).max(self.cores());
     }
 
     fn cores_idle(&self) -> Option<usize> {
@@ -372,12 +364,9 @@
     /// a core's number of them is far outside chance; harm: throttles through a pause of the same length.
     fn hangs(&self) -> bool {
         let longest = self.ops.iter().map(|op| mean(&op.runs)).fold(0.0, f64::max);
-        let running = self.count(|it| it.stage == Stage::Running);
-        running as f64 >= self.cores() && self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5)
+        self.on_cores() as f64 >= self.for_runs() && self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5)
     }
 
-    // ---- answers ----
-
     /// One place for due times: the budget or the client timeout, and the stop of a leaving process.
     fn due(&self, it: &Inv) -> f64 {
         self.leave_at.map_or(it.due, |(_, stop)| it.due.min(stop - MARGIN))
@@ -399,17 +388,13 @@
         let allowed = self.text("Allowed.RetryAfter") == "true";
         let most = if allowed { self.secs("Allowed.MaxRetryAfterUs", 0.0) } else { 0.0 };
         // Half the work in hand, spread by chance so that callers don't come back together.
-        let work: f64 = self.live.iter().map(|&i| self.core_time(self.inv(i))).sum();
+        let work: f64 = self.all(|_| true).map(|it| self.core_time(it)).sum();
         let clear = work / self.cores() * (0.25 + 0.5 * self.chance());
         let away = if self.leave_at.is_some() { most } else { clear.min(most) };
         self.out.throttled.push((inv, away, false));
         if let Some(last) = self.turned.last_mut() {
             *last = true;
         }
-        if self.inv(inv).entry {
-            self.out.forgotten.push(inv);
-            self.entries.retain(|&(_, holder)| holder != inv);
-        }
         self.unrun.push(inv);
         self.release(inv);
     }
@@ -427,8 +412,6 @@
         self.out.stopped.push(inv);
     }
 
-    // ---- repeats ----
-
     fn join(&mut self, inv: usize) {
         self.inv_mut(inv).stage = Stage::Joined;
         self.out.joined.push(inv);
@@ -450,7 +433,8 @@
     fn over_memory(&self) -> Option<usize> {
         let heap = self.num("FamilyInfo.HeapKb", f64::INFINITY);
         let inv = self.newly_read()?;
-        let entry = if self.tokened(inv) { self.num("FamilyInfo.KeyKb", 0.0) } else { 0.0 };
+        let tokened = self.ops[self.inv(inv).told.operation].kind == Kind::Tokened;
+        let entry = if tokened { self.num("FamilyInfo.KeyKb", 0.0) } else { 0.0 };
         // A tenth stays free for what is read before the next answer can be given.
         (self.memory() + entry > 0.9 * heap).then_some(inv)
     }
@@ -461,7 +445,7 @@
             Stage::Read | Stage::Held | Stage::Joined => it.told.held_kb,
             _ => it.told.held_kb * factor,
         };
-        let invs: f64 = self.live.iter().map(|&inv| needs(self.inv(inv))).sum();
+        let invs: f64 = self.all(|_| true).map(needs).sum();
         invs + self.entries.len() as f64 * self.num("FamilyInfo.KeyKb", 0.0)
     }
 
@@ -487,9 +471,9 @@
                 Stage::Held if self.density(one) >= self.density(it) => self.core_time(one),
                 _ => 0.0,
             };
-            let work: f64 = self.live.iter().map(|&i| ahead(self.inv(i))).sum();
-            let wait = if on < self.cores() { 0.0 } else { work / self.cores() };
-            on >= self.cores() && self.now + wait + self.whole_time(it) > it.by
+            let work: f64 = self.all(|_| true).map(ahead).sum();
+            let full = on >= self.for_runs();
+            full && self.now + work / self.for_runs() + self.whole_time(it) > it.by
         })
     }
 
@@ -502,7 +486,7 @@
         let table = (self.entries.len() + 1) as f64 * self.num("FamilyInfo.KeyKb", 0.0);
         let span = match op.kind {
             Kind::Tokened => (it.arrived + op.window - self.now).max(0.0) + 0.001,
-            Kind::Idempotent if shares && table < 0.2 * self.num("FamilyInfo.HeapKb", 0.0) => {
+            Kind::Idempotent if shares && table < self.num("FamilyInfo.HeapKb", 0.0) / 5.0 => {
                 it.due - self.now
             }
             _ => 0.0,
@@ -529,7 +513,7 @@
         let factor = self.num("FamilyInfo.RunFactor", 1.0);
         let below = self.count(|it| matches!(it.stage, Stage::AtCall | Stage::Calling));
         let on = self.on_cores();
-        if on as f64 >= self.cores() || (on + below) as f64 >= self.survivable() || self.hangs() {
+        if on as f64 >= self.for_runs() || (on + below) as f64 >= self.survivable() || self.hangs() {
             return None;
         }
         let free = 0.9 * heap - self.memory();
@@ -538,18 +522,23 @@
         let jam = self.count(stuck) as f64 >= 0.5 * self.cores();
         let fits = |it: &Inv| {
             let op = &self.ops[it.told.operation];
-            let blocked = op.calls && op.skip_value == 0.0 && (jam || self.call_failures >= Self::BREAK_AT);
+            let blocked = op.calls && op.skip_value == 0.0 && (jam || self.breaker_holds());
             it.stage == Stage::Held && !blocked && it.told.held_kb * (factor - 1.0) <= free
         };
         self.best(fits, |it| self.density(it))
     }
 
+    /// Cores that reading and the like leave to runs. Past their number all slow each other down, so this
+    /// counts in what costs much to read, or floods of checks and connections; half stay for runs anyway.
+    fn for_runs(&self) -> f64 {
+        (self.cores() - mean(&self.others)).max(0.5 * self.cores())
+    }
+
     fn begin(&mut self, inv: usize) {
         if self.on_cores() == 0 {
             self.progress = self.now;
         }
-        let now = self.now;
-        let it = self.inv_mut(inv);
+        let (now, it) = (self.now, &mut self.invs[inv]);
         (it.stage, it.began, it.since, it.ran) = (Stage::Running, now, now, true);
         self.out.started.push(inv);
     }
@@ -565,9 +554,20 @@
         op.value * share / work
     }
 
+    /// Expected run time by the last runs of its operation. Those that now last twice as long count too, so
+    /// that sudden slowness (a cold start, a slow machine, a hang) shows before the first of them ends;
+    /// harm: one long run by chance makes the next look long.
     fn core_time(&self, it: &Inv) -> f64 {
         let op = &self.ops[it.told.operation];
-        mean(&op.runs) / mean(&op.costs).max(1e-9) * it.told.cost.unwrap_or(1.0)
+        let (mut took, mut cost) = (op.runs.iter().sum::<f64>(), op.costs.iter().sum::<f64>().max(1e-9));
+        let twice = 2.0 * took / cost;
+        for one in self.all(|one| one.stage == Stage::Running && one.told.operation == it.told.operation) {
+            let (lasts, of) = (self.now - one.began - one.away, one.told.cost.unwrap_or(1.0));
+            if lasts > twice * of {
+                (took, cost) = (took + lasts, cost + of);
+            }
+        }
+        took / cost * it.told.cost.unwrap_or(1.0)
     }
 
     fn whole_time(&self, it: &Inv) -> f64 {
@@ -633,13 +633,9 @@
         }
         self.call_lowest = self.call_lowest.min(recent);
         let queued = 1.0 - self.call_lowest / recent;
-        if queued < ALPHA {
-            self.call_limit += 0.1;
-        } else if queued > BETA {
-            self.call_limit -= 0.1;
-        }
+        let step = f64::from(u8::from(queued < ALPHA)) - f64::from(u8::from(queued > BETA));
         let most = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8;
-        self.call_limit = self.call_limit.min(most).max(1.0);
+        self.call_limit = (self.call_limit + 0.1 * step).min(most).max(1.0);
     }
 
     /// Time that calls may still take below in this window: the told share less what they have taken,
@@ -649,13 +645,12 @@
         let window = self.secs("FamilyInfo.DepWindowUs", 5.0);
         let from = self.now - window;
         let past: f64 = self.calls.iter().map(|&(a, b)| (b - a.max(from)).max(0.0)).sum();
-        let open = self.live.iter().map(|&inv| self.inv(inv)).filter(|it| it.stage == Stage::Calling);
-        let (count, taken) = open.fold((0, 0.0), |(n, t), it| (n + 1, t + self.now - it.since.max(from)));
+        let open: Vec<f64> =
+            self.all(|it| it.stage == Stage::Calling).map(|it| self.now - it.since.max(from)).collect();
         let lingering = self.calls.iter().filter(|&&(_, end)| end > self.now).count();
-        if (count + lingering) as f64 >= self.call_limit.round().min(share.floor()).max(1.0) {
-            return 0.0;
-        }
-        (share * window - past - taken - self.secs("FamilyInfo.StaysForUs", 0.0)).max(0.0)
+        let full = (open.len() + lingering) as f64 >= self.call_limit.round().min(share.floor()).max(1.0);
+        let stays = self.secs("FamilyInfo.StaysForUs", 0.0);
+        if full { 0.0 } else { (share * window - past - open.iter().sum::<f64>() - stays).max(0.0) }
     }
 
     /// The breaker: after failures in a row one trial at a time, a pause after each failed one.
@@ -707,14 +702,12 @@
     }
 
     fn call(&mut self, inv: usize) {
-        let room = self.room_below();
-        let now = self.now;
-        let it = self.inv(inv);
+        let (now, it) = (self.now, self.inv(inv));
         let op = &self.ops[it.told.operation];
         let until = if op.late_value > 0.0 && op.skip_value == 0.0 { self.due(it) } else { it.by };
         // Where skipping earns, stop in time to earn it.
         let patience = (until - now) * if op.skip_value > 0.0 { 0.7 } else { 1.0 };
-        let patience = patience.min(room).max(0.02);
+        let patience = patience.min(self.room_below()).max(0.02);
         let it = self.inv_mut(inv);
         it.away += now - it.since;
         (it.stage, it.since, it.calls) = (Stage::Calling, now, it.calls + 1);
@@ -779,12 +772,16 @@
         }
     }
 
+    /// What leaves unrun leaves the table too, so that a later try of it starts afresh.
     fn release(&mut self, inv: usize) {
+        if self.inv(inv).entry && !self.inv(inv).ran {
+            self.out.forgotten.push(inv);
+            self.entries.retain(|&(_, holder)| holder != inv);
+        }
         self.live.retain(|&one| one != inv);
         self.out.released.push(inv);
     }
 
-    /// Numbers of what is over may still come in for the rest of a batch.
     fn lives(&self, inv: usize) -> bool {
         self.live.contains(&inv)
     }
@@ -810,8 +807,16 @@
         })
     }
 
+    fn all(&self, when: impl Fn(&Inv) -> bool) -> impl Iterator<Item = &Inv> {
+        self.live.iter().map(|&inv| self.inv(inv)).filter(move |it| when(it))
+    }
+
     fn count(&self, when: impl Fn(&Inv) -> bool) -> usize {
-        self.live.iter().filter(|&&inv| when(self.inv(inv))).count()
+        self.all(when).count()
+    }
+
+    fn newly_read(&self) -> Option<usize> {
+        self.first(|it| it.stage == Stage::Read)
     }
 
     fn on_cores(&self) -> usize {
@@ -823,10 +828,6 @@
         self.count(|it| matches!(it.stage, Stage::Read | Stage::Held | Stage::Running))
     }
 
-    fn tokened(&self, inv: usize) -> bool {
-        self.ops[self.inv(inv).told.operation].kind == Kind::Tokened
-    }
-
     fn chance(&mut self) -> f64 {
         self.rng.as_mut().map_or(0.5, |rng| rng.random())
     }
--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -108,6 +108,47 @@
     insta::assert_snapshot!(play.trace);
 }
 
+#[test]
+fn a_broken_call_path_still_lets_one_start_for_the_trial() {
+    let mut play = play(&[("FamilyInfo.CallShare", "20")]);
+    for number in 0..5 {
+        play.arrive(0.0, number, inv(2));
+        play.wants(0.0, number);
+        play.called(0.01, number, LOST);
+        play.end(0.01, number, Outcome { stopped: true, ..LOST }, 0.01);
+    }
+    play.arrive(0.1, 5, inv(2));
+    play.arrive(0.1, 6, inv(2));
+    play.wake(0.2, 0.5);
+    play.wake(0.6, 0.5);
+    play.wants(0.61, 5);
+    play.trace = play.trace.lines().skip(21).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn what_costs_much_to_read_leaves_fewer_cores_to_runs() {
+    let mut play = play(&[("FamilyInfo.Cores", "4")]);
+    for beat in 0..24 {
+        let gauges = [("cpu_busy".to_owned(), 0.5), ("runnable".to_owned(), 1.5)].into();
+        play.shedder.woken(100.0 + 0.01 * f64::from(beat), 0, &gauges);
+    }
+    for number in 0..4 {
+        play.arrive(0.3, number, inv(0));
+    }
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn a_cold_start_shows_before_the_first_run_ends() {
+    let mut play = play(&[("Classes.2.AimUs", "800000")]);
+    play.arrive(0.0, 0, inv(2));
+    play.arrive(0.0, 1, inv(2));
+    play.wake(0.8, 0.5);
+    play.arrive(0.85, 2, inv(2));
+    insta::assert_snapshot!(play.trace);
+}
+
 #[test]
 fn scarce_calls_go_to_what_loses_most_without_them() {
     let mut play = play(&[]);
