--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -408,7 +408,7 @@
     }
 
     fn stop(&mut self, inv: usize) {
-        self.inv_mut(inv).stopping = true;
+        self.invs[inv].stopping = true;
         self.out.stopped.push(inv);
     }
 
@@ -423,8 +423,6 @@
         self.out.kept.push((inv, span));
     }
 
-    // ---- the rules' limits ----
-
     fn after_grace(&self) -> Option<usize> {
         let (grace, _) = self.leave_at?;
         self.first(|it| matches!(it.stage, Stage::Read | Stage::Held) && it.arrived > grace)
@@ -460,20 +458,23 @@
         (crowd * 0.9).floor().max(1.0) // a tenth less, since the mean is taken over finer steps than ours
     }
 
-    // ---- the hold ----
-
+    /// What can't make its objective behind the better work in hand. A first try is turned away even with
+    /// cores idle, since others may be faster (guards against slow and cold machines; harm: where nobody
+    /// tries again it is lost); one of an operation runs all the same, to see whether it is still so.
     fn too_late(&self) -> Option<usize> {
         self.newly_read().filter(|&inv| {
             let it = self.inv(inv);
-            let on = self.on_cores() as f64;
             let ahead = |one: &Inv| match one.stage {
                 Stage::Running => (self.core_time(one) - (self.now - one.began - one.away)).max(0.0),
                 Stage::Held if self.density(one) >= self.density(it) => self.core_time(one),
                 _ => 0.0,
             };
             let work: f64 = self.all(|_| true).map(ahead).sum();
-            let full = on >= self.for_runs();
-            full && self.now + work / self.for_runs() + self.whole_time(it) > it.by
+            let full = self.on_cores() as f64 >= self.for_runs();
+            let like = |one: &Inv| one.stage == Stage::Running && one.told.operation == it.told.operation;
+            let tried = self.first(like).is_some();
+            let wait = if full { work / self.for_runs() } else { 0.0 };
+            (full || !it.told.again && tried) && self.now + wait + self.whole_time(it) > it.by
         })
     }
 
@@ -535,9 +536,7 @@
     }
 
     fn begin(&mut self, inv: usize) {
-        if self.on_cores() == 0 {
-            self.progress = self.now;
-        }
+        self.progress = if self.on_cores() == 0 { self.now } else { self.progress };
         let (now, it) = (self.now, &mut self.invs[inv]);
         (it.stage, it.began, it.since, it.ran) = (Stage::Running, now, now, true);
         self.out.started.push(inv);
