--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -375,11 +375,15 @@
     /// The final answer to what can't be had any more: turned away if it never ran, else errored. A joined
     /// repeat counts as run, since the one that it repeats may have.
     fn give_up(&mut self, inv: usize) {
-        let it = self.inv_mut(inv);
+        let (now, it) = (self.now, &mut self.invs[inv]);
         if matches!(it.stage, Stage::Read | Stage::Held) && !it.told.repeats {
             return self.throttle(inv);
         }
         it.answered = true;
+        if matches!(it.stage, Stage::AtCall | Stage::Calling) {
+            // Its time below counts, else a slow dependency shows only in the calls that it let through.
+            sample(&mut self.ops[it.told.operation].below, it.away + now - it.since);
+        }
         self.out.errored.push(inv);
         self.drop_waiting(inv);
     }
@@ -583,13 +587,11 @@
         let (now, servers) = (self.now, self.num("Servers", 1.0));
         let times = self.arrivals.entry(customer).or_default();
         sample(times, now);
-        let rate = times.len() as f64 / (now - times[0]).max(0.5) * servers;
+        let rate = servers * times.len() as f64 / (now - times[0]).max(0.5);
         // 24 arrivals stray by a fifth of their number.
         rate > 1.2 * quota && self.chance() < 1.0 - quota / rate
     }
 
-    // ---- calls below ----
-
     const BREAK_AT: u32 = 5; // failures in a row: chance ones hardly make five
 
     fn leave_call(&mut self, inv: usize, outcome: Outcome) {
@@ -713,8 +715,6 @@
         self.out.called.push((inv, patience));
     }
 
-    // ---- outward ----
-
     fn word_is_old(&self) -> Option<usize> {
         let due = self.now >= self.level_at + 0.25; // a quarter of how long callers keep a value
         (due || self.told.is_none_or(|(good, _)| good != self.good())).then_some(0)
@@ -744,8 +744,6 @@
         self.told = Some((good, value));
     }
 
-    // ---- going through the rules, and small change ----
-
     fn settle(&mut self) -> Decided {
         while let Some((inv, effect)) =
             RULES.iter().find_map(|(_, when, then)| when(self).map(|inv| (inv, then)))
