--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -164,8 +164,8 @@
 fn calls_given_up_show_that_the_dependency_is_slow() {
     let mut play = play(&[]);
     play.arrive(0.0, 0, inv(2));
-    play.wants(0.05, 0);
-    play.wake(1.01, 0.5);
+    play.wants(0.0, 0);
+    play.called(1.01, 0, LOST);
     play.end(1.01, 0, Outcome { stopped: true, ..LOST }, 1.01);
     play.arrive(1.1, 1, inv(2));
     play.arrive(1.2, 2, inv(2));
