--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -113,6 +113,8 @@
     born: f64,
     leave_at: Option<(f64, f64)>,
     ops: Vec<Operation>,
+    /// By operation, worked out once for each input.
+    rates: Vec<f64>,
     invs: Vec<Inv>,
     /// Numbers of live invocations in order of arrival.
     live: Vec<usize>,
@@ -209,15 +211,12 @@
         let arrived = now - told.age;
         let due = told.budget.map_or(arrived + op.timeout, |budget| now + budget);
         let stretched = op.objective + op.stretch * told.cost.unwrap_or(0.0);
-        // Part of a further try's objective was spent elsewhere: 0.4, of 0 to 0.4 tried.
-        let left = if told.again { 0.6 } else { 1.0 };
+        let left = if told.again { 0.6 } else { 1.0 }; // the rest was spent elsewhere; 0.6 and 1 were tried
         let by = (arrived + stretched.min(op.timeout) * left).min(due);
         let over_share = self.beyond_share(told.customer);
         // A repeat of what was turned away unrun in this very batch is a first try.
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
-        if self.invs.len() <= inv {
-            self.invs.resize_with(inv + 1, Inv::default);
-        }
+        self.invs.resize_with(self.invs.len().max(inv + 1), Inv::default);
         self.invs[inv] = Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() };
         self.live.push(inv);
         self.turned.push(false); // cleared at every telling
@@ -496,8 +495,7 @@
             }
             _ => 0.0,
         };
-        let it = self.inv_mut(inv);
-        (it.stage, it.entry) = (Stage::Held, span > 0.0);
+        (self.invs[inv].stage, self.invs[inv].entry) = (Stage::Held, span > 0.0);
         if span > 0.0 {
             self.keep(inv, span);
         }
@@ -524,10 +522,10 @@
         let free = 0.9 * heap - self.memory();
         // Behind a jam below, work that calls only fills memory; half the cores' number may wait there.
         let stuck = |it: &Inv| it.stage == Stage::AtCall && self.ops[it.told.operation].skip_value == 0.0;
-        let jam = self.count(stuck) as f64 >= 0.5 * self.cores();
+        let jam = self.breaker_holds() || self.count(stuck) as f64 >= 0.5 * self.cores();
         let fits = |it: &Inv| {
             let op = &self.ops[it.told.operation];
-            let blocked = op.calls && op.skip_value == 0.0 && (jam || self.breaker_holds());
+            let blocked = op.calls && op.skip_value == 0.0 && jam;
             it.stage == Stage::Held && !blocked && it.told.held_kb * (factor - 1.0) <= free
         };
         self.best(fits, |it| self.density(it))
@@ -557,20 +555,24 @@
         op.value * share / work
     }
 
-    /// Expected run time by the last runs of its operation. Those that now last twice as long count too, so
-    /// that sudden slowness (a cold start, a slow machine, a hang) shows before the first of them ends;
-    /// harm: one long run by chance makes the next look long.
-    fn core_time(&self, it: &Inv) -> f64 {
-        let op = &self.ops[it.told.operation];
-        let (mut took, mut cost) = (op.runs.iter().sum::<f64>(), op.costs.iter().sum::<f64>().max(1e-9));
+    /// Expected run time of an operation for each unit of cost, by its last runs. Those that now last twice
+    /// as long count too, so that sudden slowness (a cold start, a slow machine, a hang) shows before the
+    /// first of them ends; harm: one long run by chance makes the next look long.
+    fn rate(&self, op: usize) -> f64 {
+        let mut took = self.ops[op].runs.iter().sum::<f64>();
+        let mut cost = self.ops[op].costs.iter().sum::<f64>().max(1e-9);
         let twice = 2.0 * took / cost;
-        for one in self.all(|one| one.stage == Stage::Running && one.told.operation == it.told.operation) {
+        for one in self.all(|one| one.stage == Stage::Running && one.told.operation == op) {
             let (lasts, of) = (self.now - one.began - one.away, one.told.cost.unwrap_or(1.0));
             if lasts > twice * of {
                 (took, cost) = (took + lasts, cost + of);
             }
         }
-        took / cost * it.told.cost.unwrap_or(1.0)
+        took / cost
+    }
+
+    fn core_time(&self, it: &Inv) -> f64 {
+        self.rates[it.told.operation] * it.told.cost.unwrap_or(1.0)
     }
 
     fn whole_time(&self, it: &Inv) -> f64 {
@@ -678,9 +680,9 @@
             let op = &self.ops[it.told.operation];
             let late = self.now + mean(&op.below) + 0.5 * self.core_time(it) > it.by;
             let dearer = |one: &Inv| one.stage == Stage::AtCall && self.stake(one) > self.stake(it);
-            let short = self.room_below() == 0.0 && self.first(dearer).is_some();
-            let skip = !self.may_call(it) || self.breaker_holds() || late || short;
-            it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip
+            let short = || self.room_below() == 0.0 && self.first(dearer).is_some();
+            let skip = || !self.may_call(it) || self.breaker_holds() || late || short();
+            it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip()
         })
     }
 
@@ -706,9 +708,8 @@
         let (now, it) = (self.now, self.inv(inv));
         let op = &self.ops[it.told.operation];
         let until = if op.late_value > 0.0 && op.skip_value == 0.0 { self.due(it) } else { it.by };
-        // Where skipping earns, stop in time to earn it.
-        let patience = (until - now) * if op.skip_value > 0.0 { 0.7 } else { 1.0 };
-        let patience = patience.min(self.room_below()).max(0.02);
+        let part = if op.skip_value > 0.0 { 0.7 } else { 1.0 }; // in time to earn what skipping earns
+        let patience = ((until - now) * part).min(self.room_below()).max(0.02);
         let it = self.inv_mut(inv);
         it.away += now - it.since;
         (it.stage, it.since, it.calls) = (Stage::Calling, now, it.calls + 1);
@@ -717,11 +718,8 @@
 
     fn word_is_old(&self) -> Option<usize> {
         let due = self.now >= self.level_at + 0.25; // a quarter of how long callers keep a value
-        (due || self.told.is_none_or(|(good, _)| good != self.good())).then_some(0)
-    }
-
-    fn good(&self) -> bool {
-        self.leave_at.is_none() && !self.hangs()
+        (due || self.told.is_none_or(|(good, _)| good == (self.leave_at.is_some() || self.hangs())))
+            .then_some(0)
     }
 
     fn tell(&mut self, _: usize) {
@@ -731,7 +729,8 @@
         self.level = (self.level + if more { 0.05 } else { -0.025 }).clamp(0.0, 0.7);
         self.turned.clear();
         self.level_at = self.now;
-        let (good, level) = (self.good(), if self.good() { self.level } else { 1.0 });
+        let good = self.leave_at.is_none() && !self.hangs();
+        let level = if good { self.level } else { 1.0 };
         let each = 2.0 * self.limit / self.num("FamilyInfo.ClientsTotal", 1.0).max(1.0);
         let value = match self.text("FamilyInfo.Say") {
             "floor" => Some(level.min(0.999)),
@@ -745,6 +744,7 @@
     }
 
     fn settle(&mut self) -> Decided {
+        self.rates = (0..self.ops.len()).map(|op| self.rate(op)).collect();
         while let Some((inv, effect)) =
             RULES.iter().find_map(|(_, when, then)| when(self).map(|inv| (inv, then)))
         {
