--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -172,6 +172,16 @@
     insta::assert_snapshot!(play.trace);
 }
 
+#[test]
+fn a_flood_of_repeats_keeps_within_memory() {
+    let mut play = play(&[("FamilyInfo.HeapKb", "600")]);
+    play.arrive(0.0, 0, inv(1));
+    for number in 1..7 {
+        play.arrive(0.1, number, Invocation { repeats: true, earlier: Some(0), ..inv(1) });
+    }
+    insta::assert_snapshot!(play.trace);
+}
+
 #[test]
 fn scarce_calls_go_to_what_loses_most_without_them() {
     let mut play = play(&[]);
