--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -505,7 +505,7 @@
     fn hopeless(&self) -> Option<usize> {
         let held = self.count(|it| it.stage == Stage::Held);
         self.first(|it| {
-            let late = self.now + 0.7 * self.whole_time(it) > it.by;
+            let late = self.now + 0.7 * self.whole_time(it) > it.by; // 1 tried: no better
             let none = self.now > it.by && self.ops[it.told.operation].late_value == 0.0;
             it.stage == Stage::Held && (late && held > 1 || none)
         })
@@ -549,7 +549,7 @@
     /// that take the cores from first tries; harm: one that was only turned away at once waits longer.
     fn density(&self, it: &Inv) -> f64 {
         let op = &self.ops[it.told.operation];
-        let again = if it.told.again { 0.5 } else { 1.0 };
+        let again = if it.told.again { 0.5 } else { 1.0 }; // 0.2 tried: no better
         let share = again * if it.over_share { self.num("OverShareWorth", 1.0) } else { 1.0 };
         let work = if self.text("CountedBy") == "work" { 1.0 } else { self.core_time(it).max(1e-3) };
         op.value * share / work
@@ -632,7 +632,7 @@
         let recent = mean(&self.call_times);
         self.call_probe = self.call_probe.saturating_sub(1);
         if self.call_probe == 0 {
-            (self.call_lowest, self.call_probe) = (recent, 400);
+            (self.call_lowest, self.call_probe) = (recent, 400); // half a minute or so, untried
         }
         self.call_lowest = self.call_lowest.min(recent);
         let queued = 1.0 - self.call_lowest / recent;
@@ -644,7 +644,7 @@
     /// Time that calls may still take below in this window: the told share less what they have taken,
     /// abandoned ones with their stay, less a part for what others' cold starts add.
     fn room_below(&self) -> f64 {
-        let share = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8;
+        let share = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8; // 0.5 tried: too few calls
         let window = self.secs("FamilyInfo.DepWindowUs", 5.0);
         let from = self.now - window;
         let past: f64 = self.calls.iter().map(|&(a, b)| (b - a.max(from)).max(0.0)).sum();
@@ -659,7 +659,7 @@
     /// The breaker: after failures in a row one trial at a time, a pause after each failed one.
     fn breaker_holds(&self) -> bool {
         let trial = self.count(|it| it.stage == Stage::Calling) > 0;
-        self.call_failures >= Self::BREAK_AT && (trial || self.now < self.call_failed_at + 0.5)
+        self.call_failures >= Self::BREAK_AT && (trial || self.now < self.call_failed_at + 0.5) // untried
     }
 
     fn may_call(&self, it: &Inv) -> bool {
