Keep to full size: ask against further tries, close idle connections, pace calls below

Change: throttles ask not to go on where the try was a further one or over a seventh of the arrivals were; idle connections close at once where callers hardly come back; the limit on calls is a mean over a second that may fall under one, measures abandoned calls too and begins at four tenths of the share. Guards also against any storm of tries, callers without reuse, a crowded dependency; could harm where others have room for what is not sent on.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -24,18 +24,11 @@
     Joined,
 }
 
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-enum Kind {
-    Idempotent,
-    Tokened,
-    #[default]
-    NonIdempotent,
-}
-
 /// One operation's settings and the last few samples of what its runs took.
 #[derive(Default)]
 struct Operation {
-    kind: Kind,
+    idempotent: bool,
+    tokened: bool,
     objective: f64,
     stretch: f64,
     timeout: f64,
@@ -44,11 +37,9 @@
     window: f64,
     skip_value: f64,
     calls: bool,
-    /// Run durations without calls, and the hinted costs of those runs (1 where there are no hints).
-    runs: VecDeque<f64>,
-    costs: VecDeque<f64>,
-    /// Time at calls and waiting for them, by run.
-    below: VecDeque<f64>,
+    runs: VecDeque<f64>,  // durations without calls
+    costs: VecDeque<f64>, // hinted costs of those runs, 1 where there are no hints
+    below: VecDeque<f64>, // time at calls and waiting for them, by run
     lowest: f64,
     until_probe: f64,
 }
@@ -58,21 +49,18 @@
     told: Invocation,
     arrived: f64,
     due: f64,
-    /// When its answer still makes the latency objective.
-    by: f64,
+    by: f64, // when its answer still makes the latency objective
     stage: Stage,
     since: f64,
     began: f64,
-    /// Time since `began` that was not spent on the cores.
-    away: f64,
+    away: f64, // time since `began` that was not spent on the cores
     answered: bool,
     stopping: bool,
     ran: bool,
     entry: bool,
     over_share: bool,
     calls: u32,
-    /// A call of it may have taken effect without its outcome being known.
-    unsure: bool,
+    unsure: bool, // a call of it may have taken effect
 }
 
 const BEAT: f64 = 0.01; // between looks at the clock: well under any slack, 100 cheap timers a second
@@ -113,23 +101,18 @@
     born: f64,
     leave_at: Option<(f64, f64)>,
     ops: Vec<Operation>,
-    /// By operation, worked out once for each input.
     rates: Vec<f64>,
     invs: Vec<Inv>,
-    /// Numbers of live invocations in order of arrival.
-    live: Vec<usize>,
-    /// Those turned away unrun at this very time: a repeat read with them starts afresh.
-    unrun: Vec<usize>,
+    live: Vec<usize>,  // in order of arrival
+    unrun: Vec<usize>, // turned away unrun at this very time: a repeat read with them starts afresh
     limit: f64,
     busy: f64,
     busy_at: f64,
-    /// What else than runs needed a core at the last beats: reading, checks, new connections.
-    others: VecDeque<f64>,
+    others: VecDeque<f64>, // what else needed a core at the last beats: reading, checks, new connections
     progress: f64,
     entries: VecDeque<(f64, usize)>,
-    /// Start and end of the last calls, ends of abandoned ones including their stay below.
-    calls: VecDeque<(f64, f64)>,
-    /// Durations of the last calls that went well, the lowest mean of them, calls until it is taken anew.
+    calls: VecDeque<(f64, f64)>, // start and end of the last ones, of abandoned ones with their stay below
+    /// Durations of the last calls, the lowest mean of them, calls until it is taken anew.
     call_times: VecDeque<f64>,
     call_lowest: f64,
     call_probe: u32,
@@ -137,11 +120,14 @@
     call_failures: u32,
     call_failed_at: f64,
     arrivals: BTreeMap<usize, VecDeque<f64>>,
-    /// The arrivals since callers were last told: whether they were turned away.
-    turned: Vec<bool>,
+    turned: Vec<bool>, // the arrivals since callers were last told: whether they were turned away
     level: f64,
     level_at: f64,
     told: Option<(bool, Option<f64>)>,
+    callers: BTreeMap<u64, f64>, // when each came last
+    gaps: VecDeque<f64>,         // after how long the callers of the last arrivals had come back
+    agains: VecDeque<f64>,       // whether the last arrivals were further tries (1 or 0)
+    trimmed: f64,
 }
 
 /// Keeps the last few samples. 24 spans a second or two of a busy operation: recent, not jumpy.
@@ -160,22 +146,20 @@
     /// A new instance. Fails on a setting that it uses and cannot read, naming it.
     pub fn start(now: f64, seed: u64, settings: Settings) -> Result<(Self, Decided), String> {
         let numeric = ["Us", "Kb", "Worth", "Cores", "CallShare", "Factor", "Multiple", "count", "Total"];
-        for (name, text) in &settings {
-            let number = numeric.iter().any(|end| name.ends_with(end)) && !name.ends_with("ClassSkipWorth");
-            if number && text.parse::<f64>().map_or(true, |value| !value.is_finite()) {
-                return Err(format!("setting {name}={text:?} is no number"));
-            }
+        let number =
+            |name: &str| numeric.iter().any(|end| name.ends_with(end)) && !name.ends_with("SkipWorth");
+        let unread = |text: &str| text.parse::<f64>().map_or(true, |value| !value.is_finite());
+        if let Some((name, text)) = settings.iter().find(|(name, text)| number(name) && unread(text)) {
+            return Err(format!("setting {name}={text:?} is no number"));
         }
         let mut new = Shedder { settings, now, salt: seed, born: now, busy_at: now, ..Shedder::default() };
         new.rng = Some(Pcg32::seed_from_u64(seed));
         new.ops = (0..new.num("Classes.count", 0.0).max(1.0) as usize).map(|op| new.operation(op)).collect();
         new.limit = new.cores();
-        new.call_limit = (new.num("FamilyInfo.CallShare", f64::INFINITY) / 2.0).max(1.0);
+        // The dependency slows well before its share is full: half of it at the start let all backends jam
+        // it together before they had samples, a quarter took long to rise where it had room.
+        new.call_limit = new.num("FamilyInfo.CallShare", f64::INFINITY) * 0.4;
         new.out.wake.push((BEAT, 0));
-        // Idle connections tax the cores, opening one costs about a tenth of a run: a third of the callers'
-        // own idle time keeps those in use and lets those of a burst go.
-        new.out.trim_after =
-            Some(new.secs("FamilyInfo.CallerIdleUs", 0.0) / 3.0).filter(|&idle| idle >= 0.01);
         let decided = new.settle();
         Ok((new, decided))
     }
@@ -185,11 +169,8 @@
         let listed = |name: &str| self.text(name).split(',').nth(op).unwrap_or("").to_owned();
         let timeout = self.secs(&path("DeadlineUs"), 1.0);
         Operation {
-            kind: match self.text(&path("Effect")) {
-                "idempotency_key" => Kind::Tokened,
-                "read_like" => Kind::Idempotent,
-                _ => Kind::NonIdempotent,
-            },
+            idempotent: self.text(&path("Effect")) == "read_like",
+            tokened: self.text(&path("Effect")) == "idempotency_key",
             objective: self.secs(&path("AimUs"), timeout),
             stretch: self.num(&path("AimStretch"), 0.0),
             timeout,
@@ -202,8 +183,6 @@
         }
     }
 
-    // ---- what happens ----
-
     pub fn arrived(&mut self, now: f64, inv: usize, mut told: Invocation) -> Decided {
         self.at(now);
         told.operation = told.operation.min(self.ops.len() - 1);
@@ -214,6 +193,9 @@
         let left = if told.again { 0.6 } else { 1.0 }; // the rest was spent elsewhere; 0.6 and 1 were tried
         let by = (arrived + stretched.min(op.timeout) * left).min(due);
         let over_share = self.beyond_share(told.customer);
+        let before = self.callers.insert(told.caller, now).unwrap_or(f64::NEG_INFINITY);
+        sample(&mut self.gaps, now - before);
+        sample(&mut self.agains, f64::from(u8::from(told.again)));
         // A repeat of what was turned away unrun in this very batch is a first try.
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
         self.invs.resize_with(self.invs.len().max(inv + 1), Inv::default);
@@ -229,17 +211,16 @@
             return self.settle();
         }
         self.leave_call(inv, outcome);
-        let it = self.inv(inv);
+        let it = &self.invs[inv];
         let (op, away, cost, entry) = (it.told.operation, it.away, it.told.cost.unwrap_or(1.0), it.entry);
-        if it.stage != Stage::Joined {
-            self.progress = now;
-            if outcome.succeeded && !self.inv(inv).stopping {
-                self.measured(op, (took - away).max(1e-6), cost, away);
-            }
+        let (ran, whole) = (it.stage != Stage::Joined, outcome.succeeded && !it.stopping);
+        self.progress = if ran { now } else { self.progress };
+        if ran && whole {
+            self.measured(op, (took - away).max(1e-6), cost, away);
         }
         // A read's answer may serve others for a while where that is allowed.
         let share_for = self.secs("FamilyInfo.ShareForUs", 0.0);
-        if outcome.succeeded && share_for > 0.0 && entry && self.ops[op].kind == Kind::Idempotent {
+        if outcome.succeeded && share_for > 0.0 && entry && self.ops[op].idempotent {
             self.keep(inv, share_for);
         }
         self.release(inv);
@@ -249,7 +230,7 @@
     pub fn caller_left(&mut self, now: f64, inv: usize) -> Decided {
         self.at(now);
         if self.lives(inv) {
-            self.inv_mut(inv).answered = true;
+            self.invs[inv].answered = true;
             self.drop_waiting(inv);
         }
         self.settle()
@@ -258,7 +239,7 @@
     pub fn wants_call(&mut self, now: f64, inv: usize) -> Decided {
         self.at(now);
         if self.lives(inv) {
-            let it = self.inv_mut(inv);
+            let it = &mut self.invs[inv];
             (it.stage, it.since) = (Stage::AtCall, now);
             self.progress = now;
         }
@@ -267,9 +248,9 @@
 
     pub fn call_ended(&mut self, now: f64, inv: usize, outcome: Outcome, _took: f64) -> Decided {
         self.at(now);
-        if self.lives(inv) && self.inv(inv).stage == Stage::Calling {
+        if self.lives(inv) && self.invs[inv].stage == Stage::Calling {
             self.leave_call(inv, outcome);
-            let it = self.inv_mut(inv);
+            let it = &mut self.invs[inv];
             it.unsure = !outcome.succeeded && !outcome.never_ran;
             it.stage = if outcome.succeeded { Stage::Running } else { Stage::AtCall };
             self.progress = now;
@@ -289,16 +270,13 @@
         if let Some(&busy) = gauges.get("cpu_busy") {
             (self.busy, self.busy_at) = (busy.clamp(0.0, 1.0), now);
         }
-        if let Some(&all) = gauges.get("runnable") {
-            let others = (all - self.on_cores() as f64).max(0.0);
-            sample(&mut self.others, others);
+        if let (Some(&all), on) = (gauges.get("runnable"), self.on_cores() as f64) {
+            sample(&mut self.others, (all - on).max(0.0));
         }
         self.out.wake.push((BEAT, 0));
         self.settle()
     }
 
-    // ---- the ordinary path: limit and cut ----
-
     /// The Vegas update at a finish, on a duration without calls and, where hinted, by unit of cost, so
     /// that a long invocation does not read as a queue.
     fn measured(&mut self, op: usize, took: f64, cost: f64, below: f64) {
@@ -345,7 +323,7 @@
     /// Five bands from rank, the lowest rank with the highest number, and 128 cohorts of callers. The seed
     /// goes into the cohort, so that no caller is shut out on all servers for the same hour.
     fn group(&self, inv: usize) -> f64 {
-        let it = self.inv(inv);
+        let it = &self.invs[inv];
         let rank = if it.over_share { 0.0 } else { it.told.rank.clamp(0.0, 0.999) };
         let hour = (self.now / 3600.0) as u64;
         let mixed = (it.told.caller ^ self.salt.rotate_left(17) ^ hour.rotate_left(40))
@@ -394,7 +372,10 @@
         let work: f64 = self.all(|_| true).map(|it| self.core_time(it)).sum();
         let clear = work / self.cores() * (0.25 + 0.5 * self.chance());
         let away = if self.leave_at.is_some() { most } else { clear.min(most) };
-        self.out.throttled.push((inv, away, false));
+        // Not elsewhere where it has been, nor while over a seventh of the last arrivals were further tries:
+        // all turn away then. Guards against storms of tries; harm: lost where others have room.
+        let last = self.invs[inv].told.again || mean(&self.agains) > 0.15;
+        self.out.throttled.push((inv, away, last));
         if let Some(last) = self.turned.last_mut() {
             *last = true;
         }
@@ -406,7 +387,7 @@
         let offered = matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze");
         self.first(|it| {
             let waste = it.answered && it.stage == Stage::Running && !it.stopping;
-            offered && waste && self.ops[it.told.operation].kind == Kind::Idempotent
+            offered && waste && self.ops[it.told.operation].idempotent
         })
     }
 
@@ -416,7 +397,7 @@
     }
 
     fn join(&mut self, inv: usize) {
-        self.inv_mut(inv).stage = Stage::Joined;
+        self.invs[inv].stage = Stage::Joined;
         self.out.joined.push(inv);
     }
 
@@ -434,7 +415,7 @@
     fn over_memory(&self) -> Option<usize> {
         let heap = self.num("FamilyInfo.HeapKb", f64::INFINITY);
         let inv = self.newly_read()?;
-        let tokened = self.ops[self.inv(inv).told.operation].kind == Kind::Tokened;
+        let tokened = self.ops[self.invs[inv].told.operation].tokened;
         let entry = if tokened { self.num("FamilyInfo.KeyKb", 0.0) } else { 0.0 };
         // A tenth stays free for what is read before the next answer can be given.
         (self.memory() + entry > 0.9 * heap).then_some(inv)
@@ -461,12 +442,11 @@
         (crowd * 0.9).floor().max(1.0) // a tenth less, since the mean is taken over finer steps than ours
     }
 
-    /// What can't make its objective behind the better work in hand. A first try is turned away even with
-    /// cores idle, since others may be faster (guards against slow and cold machines; harm: where nobody
-    /// tries again it is lost); one of an operation runs all the same, to see whether it is still so.
+    /// What can't make its objective behind the better work in hand. A first try goes even with cores idle,
+    /// since others may be faster (harm: else it is lost); one of an operation stays, to see if that holds.
     fn too_late(&self) -> Option<usize> {
         self.newly_read().filter(|&inv| {
-            let it = self.inv(inv);
+            let it = &self.invs[inv];
             let ahead = |one: &Inv| match one.stage {
                 Stage::Running => (self.core_time(one) - (self.now - one.began - one.away)).max(0.0),
                 Stage::Held if self.density(one) >= self.density(it) => self.core_time(one),
@@ -484,16 +464,16 @@
     /// Tokened ones enter the table for their window, reads with a subject until due where answers may serve
     /// others and the table leaves most of the memory to work.
     fn hold(&mut self, inv: usize) {
-        let it = self.inv(inv);
+        let it = &self.invs[inv];
         let op = &self.ops[it.told.operation];
         let shares = self.secs("FamilyInfo.ShareForUs", 0.0) > 0.0 && it.told.has_subject;
         let table = (self.entries.len() + 1) as f64 * self.num("FamilyInfo.KeyKb", 0.0);
-        let span = match op.kind {
-            Kind::Tokened => (it.arrived + op.window - self.now).max(0.0) + 0.001,
-            Kind::Idempotent if shares && table < self.num("FamilyInfo.HeapKb", 0.0) / 5.0 => {
-                it.due - self.now
-            }
-            _ => 0.0,
+        let span = if op.tokened {
+            (it.arrived + op.window - self.now).max(0.0) + 0.001
+        } else if op.idempotent && shares && table < self.num("FamilyInfo.HeapKb", 0.0) / 5.0 {
+            it.due - self.now
+        } else {
+            0.0
         };
         (self.invs[inv].stage, self.invs[inv].entry) = (Stage::Held, span > 0.0);
         if span > 0.0 {
@@ -544,9 +524,8 @@
         self.out.started.push(inv);
     }
 
-    /// Billed value by second of core. A marked further try has spent an unknown part of its objective
-    /// elsewhere, so that its answer is likelier to come too late: half. Guards against storms of retries
-    /// that take the cores from first tries; harm: one that was only turned away at once waits longer.
+    /// Billed value by second of core. A marked further try has spent a part of its objective: half. Guards
+    /// against retries that take the cores from first tries; harm: one turned away at once waits longer.
     fn density(&self, it: &Inv) -> f64 {
         let op = &self.ops[it.told.operation];
         let again = if it.told.again { 0.5 } else { 1.0 }; // 0.2 tried: no better
@@ -555,9 +534,8 @@
         op.value * share / work
     }
 
-    /// Expected run time of an operation for each unit of cost, by its last runs. Those that now last twice
-    /// as long count too, so that sudden slowness (a cold start, a slow machine, a hang) shows before the
-    /// first of them ends; harm: one long run by chance makes the next look long.
+    /// Expected run time of an operation by unit of cost, by its last runs. Those that now last twice as long
+    /// count too: sudden slowness shows before one ends; harm: a long run by chance makes the next look long.
     fn rate(&self, op: usize) -> f64 {
         let mut took = self.ops[op].runs.iter().sum::<f64>();
         let mut cost = self.ops[op].costs.iter().sum::<f64>().max(1e-9);
@@ -590,15 +568,12 @@
         let times = self.arrivals.entry(customer).or_default();
         sample(times, now);
         let rate = servers * times.len() as f64 / (now - times[0]).max(0.5);
-        // 24 arrivals stray by a fifth of their number.
-        rate > 1.2 * quota && self.chance() < 1.0 - quota / rate
+        rate > 1.2 * quota && self.chance() < 1.0 - quota / rate // 24 arrivals stray by a fifth
     }
 
-    const BREAK_AT: u32 = 5; // failures in a row: chance ones hardly make five
-
     fn leave_call(&mut self, inv: usize, outcome: Outcome) {
         let (now, stays) = (self.now, self.secs("FamilyInfo.StaysForUs", 0.0));
-        let it = self.inv_mut(inv);
+        let it = &mut self.invs[inv];
         let (stage, since) = (it.stage, it.since);
         if matches!(stage, Stage::AtCall | Stage::Calling) {
             (it.away, it.since) = (it.away + now - since, now);
@@ -606,64 +581,82 @@
         if stage == Stage::Calling {
             let lingers = !outcome.succeeded && !outcome.never_ran;
             self.calls.push_back((since, if lingers { now + stays } else { now }));
+            if outcome.succeeded || lingers && !outcome.stopped {
+                self.call_measured(now - since); // of an abandoned one the least that it would have taken
+            }
             if outcome.succeeded {
                 self.call_failures = 0;
-                self.call_measured(now - since);
             } else if !outcome.stopped {
-                self.call_failures += 1;
-                self.call_failed_at = now;
+                (self.call_failures, self.call_failed_at) = (self.call_failures + 1, now);
             }
         }
     }
 
-    /// The Vegas update for calls: what lies below slows well before its told share is full, and whatever
-    /// crowds it (other backends too) shows in the mean of the last calls against the lowest such mean.
-    /// Guards against a slow, crowded or shrunken dependency; harm: holds calls back for a time after it
-    /// has turned slower for good, until the lowest is taken anew.
+    /// The Vegas update for calls: whatever crowds what lies below, other backends too, shows in the mean of
+    /// the last calls against the lowest such mean. Guards against a slow, crowded or shrunken dependency;
+    /// harm: holds calls back after it has turned slower for good, until the lowest is taken anew.
     fn call_measured(&mut self, took: f64) {
-        // Single call times scatter about as much as their mean, the mean of 24 by a fifth: a third more
-        // than the lowest may be chance, twice as much is not.
-        const ALPHA: f64 = 0.25;
-        const BETA: f64 = 0.5;
+        // The mean of 8 call times strays by a third, and the lowest of many means of 24 lies as far under:
+        // twice that may be chance (0.4 held a free dependency's calls back), three times is not.
+        const ALPHA: f64 = 0.5;
+        const BETA: f64 = 0.67;
         sample(&mut self.call_times, took);
-        if self.call_times.len() < 12 {
+        if self.call_times.len() < 8 {
             return;
         }
-        let recent = mean(&self.call_times);
+        // Those of the last 2 s, where they are few the last 8: 24 would be 10 s old on a small backend.
+        let last = self.calls.iter().filter(|&&(_, end)| end > self.now - 2.0).count().clamp(8, 24);
+        let recent = mean(&self.call_times.iter().rev().take(last).copied().collect());
         self.call_probe = self.call_probe.saturating_sub(1);
         if self.call_probe == 0 {
-            (self.call_lowest, self.call_probe) = (recent, 400); // half a minute or so, untried
+            (self.call_lowest, self.call_probe) = (mean(&self.call_times), 400); // a minute or so, untried
         }
-        self.call_lowest = self.call_lowest.min(recent);
+        self.call_lowest = self.call_lowest.min(mean(&self.call_times));
         let queued = 1.0 - self.call_lowest / recent;
-        let step = f64::from(u8::from(queued < ALPHA)) - f64::from(u8::from(queued > BETA));
-        let most = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8;
-        self.call_limit = (self.call_limit + 0.1 * step).min(most).max(1.0);
+        let step = 0.05 * f64::from(u8::from(queued < ALPHA)) - 0.1 * f64::from(u8::from(queued > BETA));
+        let share = self.num("FamilyInfo.CallShare", f64::INFINITY);
+        // A tenth of the share at the least, under which a few abandoned calls would shut it for good.
+        self.call_limit = (self.call_limit * (1.0 + step)).clamp(0.1 * share, 0.8 * share);
+    }
+
+    /// Time that calls have taken below over the last `span`, open ones too, abandoned ones with their stay.
+    fn used_below(&self, span: f64) -> f64 {
+        let taken = |from: f64, to: f64| (to - from.max(self.now - span)).max(0.0);
+        let open = self.all(|it| it.stage == Stage::Calling).map(|it| taken(it.since, self.now));
+        open.chain(self.calls.iter().map(|&(from, to)| taken(from, to))).sum()
     }
 
-    /// Time that calls may still take below in this window: the told share less what they have taken,
-    /// abandoned ones with their stay, less a part for what others' cold starts add.
+    /// The told window, or a longer one where the share is so small that its time would hold no call.
+    fn call_window(&self) -> f64 {
+        let share = self.num("FamilyInfo.CallShare", f64::INFINITY).max(1e-6);
+        self.secs("FamilyInfo.DepWindowUs", 5.0).max(3.0 * self.secs("FamilyInfo.StaysForUs", 0.0) / share)
+    }
+
+    /// Time that a call may take below: what the told share leaves in its window, less a part for what
+    /// others' cold starts add and one stay; none over the limit on calls, kept as a mean over a fifth of the
+    /// window so that it holds under one call at a time and bursts of all backends together are spread.
     fn room_below(&self) -> f64 {
         let share = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8; // 0.5 tried: too few calls
-        let window = self.secs("FamilyInfo.DepWindowUs", 5.0);
-        let from = self.now - window;
-        let past: f64 = self.calls.iter().map(|&(a, b)| (b - a.max(from)).max(0.0)).sum();
-        let open: Vec<f64> =
-            self.all(|it| it.stage == Stage::Calling).map(|it| self.now - it.since.max(from)).collect();
+        let (window, limit) = (self.call_window(), self.call_limit);
         let lingering = self.calls.iter().filter(|&&(_, end)| end > self.now).count();
-        let full = (open.len() + lingering) as f64 >= self.call_limit.round().min(share.floor()).max(1.0);
-        let stays = self.secs("FamilyInfo.StaysForUs", 0.0);
-        if full { 0.0 } else { (share * window - past - open.iter().sum::<f64>() - stays).max(0.0) }
+        let open = (self.count(|it| it.stage == Stage::Calling) + lingering) as f64;
+        let full = open >= (2.0 * limit).ceil().min(share.floor()).max(1.0);
+        let paced = self.used_below(0.2 * window) > 0.2 * window * limit;
+        let room = share * window - self.used_below(window) - self.secs("FamilyInfo.StaysForUs", 0.0);
+        // A call cut short stays below all the same: none without room for four mean ones.
+        let four = if self.call_times.is_empty() { f64::MAX } else { 4.0 * mean(&self.call_times) };
+        let enough = four.min(0.5 * share * window);
+        if full || paced || room < enough { 0.0 } else { room.max(0.0) }
     }
 
-    /// The breaker: after failures in a row one trial at a time, a pause after each failed one.
+    /// The breaker: after five failures in a row (hardly chance) one trial at a time, each after a pause.
     fn breaker_holds(&self) -> bool {
         let trial = self.count(|it| it.stage == Stage::Calling) > 0;
-        self.call_failures >= Self::BREAK_AT && (trial || self.now < self.call_failed_at + 0.5) // untried
+        self.call_failures >= 5 && (trial || self.now < self.call_failed_at + 0.5) // untried
     }
 
     fn may_call(&self, it: &Inv) -> bool {
-        let once = self.ops[it.told.operation].kind != Kind::Idempotent && it.unsure;
+        let once = !self.ops[it.told.operation].idempotent && it.unsure;
         it.calls < 3 && !once
     }
 
@@ -688,7 +681,7 @@
 
     fn degrade(&mut self, inv: usize) {
         self.leave_call(inv, Outcome { succeeded: true, ..Outcome::default() });
-        self.inv_mut(inv).stage = Stage::Running;
+        self.invs[inv].stage = Stage::Running;
         self.out.degraded.push(inv);
     }
 
@@ -705,12 +698,12 @@
     }
 
     fn call(&mut self, inv: usize) {
-        let (now, it) = (self.now, self.inv(inv));
+        let (now, it) = (self.now, &self.invs[inv]);
         let op = &self.ops[it.told.operation];
         let until = if op.late_value > 0.0 && op.skip_value == 0.0 { self.due(it) } else { it.by };
         let part = if op.skip_value > 0.0 { 0.7 } else { 1.0 }; // in time to earn what skipping earns
         let patience = ((until - now) * part).min(self.room_below()).max(0.02);
-        let it = self.inv_mut(inv);
+        let it = &mut self.invs[inv];
         it.away += now - it.since;
         (it.stage, it.since, it.calls) = (Stage::Calling, now, it.calls + 1);
         self.out.called.push((inv, patience));
@@ -741,6 +734,18 @@
         self.out.health = Some(good).filter(|_| self.told.is_none_or(|(was, _)| was != good));
         self.out.level = value.filter(|_| self.told.is_none_or(|(_, was)| was != value));
         self.told = Some((good, value));
+        let idle = self.keep_idle();
+        self.out.trim_after = Some(idle).filter(|&idle| idle >= 0.01 && idle != self.trimmed);
+        self.trimmed = idle;
+    }
+
+    /// How long idle connections stay: a third of the callers' own time while half of the last ones had come
+    /// again within a fifth of it (holding costs as much as opening by then), else hardly at all. Guards
+    /// against a table full of callers who don't come back; harm: a few busy ones among many open anew.
+    fn keep_idle(&self) -> f64 {
+        let idle = self.secs("FamilyInfo.CallerIdleUs", 0.0);
+        let back = self.gaps.iter().filter(|&&gap| gap <= idle / 5.0).count();
+        if self.gaps.len() < 8 || 2 * back >= self.gaps.len() { idle / 3.0 } else { idle.min(0.01) }
     }
 
     fn settle(&mut self) -> Decided {
@@ -759,19 +764,19 @@
         }
         self.now = now;
         self.entries.retain(|&(end, _)| end > now);
-        let from = now - self.secs("FamilyInfo.DepWindowUs", 5.0);
+        let from = now - self.call_window();
         self.calls.retain(|&(_, end)| end > from);
     }
 
     fn drop_waiting(&mut self, inv: usize) {
-        if matches!(self.inv(inv).stage, Stage::Read | Stage::Held | Stage::Joined) {
+        if matches!(self.invs[inv].stage, Stage::Read | Stage::Held | Stage::Joined) {
             self.release(inv);
         }
     }
 
     /// What leaves unrun leaves the table too, so that a later try of it starts afresh.
     fn release(&mut self, inv: usize) {
-        if self.inv(inv).entry && !self.inv(inv).ran {
+        if self.invs[inv].entry && !self.invs[inv].ran {
             self.out.forgotten.push(inv);
             self.entries.retain(|&(_, holder)| holder != inv);
         }
@@ -783,29 +788,21 @@
         self.live.contains(&inv)
     }
 
-    fn inv(&self, inv: usize) -> &Inv {
-        &self.invs[inv]
-    }
-
-    fn inv_mut(&mut self, inv: usize) -> &mut Inv {
-        &mut self.invs[inv]
-    }
-
     fn first(&self, when: impl Fn(&Inv) -> bool) -> Option<usize> {
-        self.live.iter().copied().find(|&inv| when(self.inv(inv)))
+        self.live.iter().copied().find(|&inv| when(&self.invs[inv]))
     }
 
     /// The one of most worth, of these the one whose objective comes first.
     fn best(&self, when: impl Fn(&Inv) -> bool, worth: impl Fn(&Inv) -> f64) -> Option<usize> {
-        let all = self.live.iter().copied().filter(|&inv| when(self.inv(inv)));
+        let all = self.live.iter().copied().filter(|&inv| when(&self.invs[inv]));
         all.max_by(|&a, &b| {
-            let (a, b) = (self.inv(a), self.inv(b));
+            let (a, b) = (&self.invs[a], &self.invs[b]);
             worth(a).total_cmp(&worth(b)).then(b.by.total_cmp(&a.by))
         })
     }
 
     fn all(&self, when: impl Fn(&Inv) -> bool) -> impl Iterator<Item = &Inv> {
-        self.live.iter().map(|&inv| self.inv(inv)).filter(move |it| when(it))
+        self.live.iter().map(|&inv| &self.invs[inv]).filter(move |it| when(it))
     }
 
     fn count(&self, when: impl Fn(&Inv) -> bool) -> usize {
