--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -744,7 +744,7 @@
     /// against a table full of callers who don't come back; harm: a few busy ones among many open anew.
     fn keep_idle(&self) -> f64 {
         let idle = self.secs("FamilyInfo.CallerIdleUs", 0.0);
-        let back = self.gaps.iter().filter(|&&gap| gap <= idle / 5.0).count();
+        let back = self.gaps.iter().filter(|&&gap| gap <= idle).count();
         if self.gaps.len() < 8 || 2 * back >= self.gaps.len() { idle / 3.0 } else { idle.min(0.01) }
     }
 
