Keep half of the call limit for operations that can't do without calls

Guards also against any shortage below; could harm where the limit is far from binding and skipped answers earn little. Not kept, on record: the reserve for the dearest operation whatever it may skip, giving up early at a call, more runs beside reads, refusing on idle cores only what is surely late.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -1,7 +1,6 @@
 //! The decisions. A host calls one method of [`Shedder`] for each thing that happens (`start`, `arrived`,
 //! `ended`, `caller_left`, `wants_call`, `call_ended`, `leave`, `woken`), with the clock in seconds, and
 //! carries out the [`Decided`] that comes back. The interface's types are defined in `lib.rs`.
-//!
 //! A method notes what happened; then the table `RULES` is gone through from the top until no rule fires.
 //! A rule names a condition, which picks an invocation, and an effect on it. Each effect moves that
 //! invocation on (answered, held, started, called) or settles a value, so that the going-through ends.
@@ -123,11 +122,10 @@
     turned: Vec<bool>, // the arrivals since callers were last told: whether they were turned away
     level: f64,
     level_at: f64,
-    told: Option<(bool, Option<f64>)>,
-    callers: BTreeMap<u64, f64>, // when each came last
-    gaps: VecDeque<f64>,         // after how long the callers of the last arrivals had come back
-    agains: VecDeque<f64>,       // whether the last arrivals were further tries (1 or 0)
-    trimmed: f64,
+    told: Option<(bool, Option<f64>, f64)>, // health, level, idle time of connections
+    callers: BTreeMap<u64, f64>,            // when each came last
+    gaps: VecDeque<f64>,                    // after how long the callers of the last arrivals had come back
+    agains: VecDeque<f64>,                  // whether the last arrivals were further tries (1 or 0)
 }
 
 /// Keeps the last few samples. 24 spans a second or two of a busy operation: recent, not jumpy.
@@ -218,7 +216,6 @@
         if ran && whole {
             self.measured(op, (took - away).max(1e-6), cost, away);
         }
-        // A read's answer may serve others for a while where that is allowed.
         let share_for = self.secs("FamilyInfo.ShareForUs", 0.0);
         if outcome.succeeded && share_for > 0.0 && entry && self.ops[op].idempotent {
             self.keep(inv, share_for);
@@ -284,8 +281,7 @@
         // than a half of their mean, which alone makes 7/10 of the limit look queued.
         const ALPHA: f64 = 8.0;
         const BETA: f64 = 16.0;
-        // Invocations until the lowest duration is taken anew, by the limit: the guide's value.
-        const PROBE: f64 = 30.0;
+        const PROBE: f64 = 30.0; // invocations until the lowest is taken anew, by the limit: the guide's
         let (limit, most) = (self.limit, self.survivable());
         let it = &mut self.ops[op];
         let duration = took / cost;
@@ -557,8 +553,8 @@
         self.core_time(it) + mean(&self.ops[it.told.operation].below)
     }
 
-    /// Whether this arrival is over its customer's share, as seen by one of the backends: by chance, in
-    /// proportion to what is over, once the rate here times the backends is clearly above the share.
+    /// Whether this arrival is over its customer's share: by chance, in proportion to what is over, once the
+    /// rate here times the backends is clearly above the share.
     fn beyond_share(&mut self, customer: usize) -> bool {
         let quota = self.num(&format!("Tenants.{customer}.QuotaPerS"), 0.0);
         if quota <= 0.0 || customer >= self.num("Tenants.count", 0.0) as usize {
@@ -615,8 +611,7 @@
         let queued = 1.0 - self.call_lowest / recent;
         let step = 0.05 * f64::from(u8::from(queued < ALPHA)) - 0.1 * f64::from(u8::from(queued > BETA));
         let share = self.num("FamilyInfo.CallShare", f64::INFINITY);
-        // A tenth of the share at the least, under which a few abandoned calls would shut it for good.
-        self.call_limit = (self.call_limit * (1.0 + step)).clamp(0.1 * share, 0.8 * share);
+        self.call_limit = (self.call_limit * (1.0 + step)).clamp(0.1 * share, 0.8 * share); // less holds none
     }
 
     /// Time that calls have taken below over the last `span`, open ones too, abandoned ones with their stay.
@@ -632,6 +627,12 @@
         self.secs("FamilyInfo.DepWindowUs", 5.0).max(3.0 * self.secs("FamilyInfo.StaysForUs", 0.0) / share)
     }
 
+    /// Whether calls have taken this part of their limit over the last fifth of the window.
+    fn paced_below(&self, part: f64) -> bool {
+        let span = 0.2 * self.call_window();
+        self.used_below(span) > part * span * self.call_limit
+    }
+
     /// Time that a call may take below: what the told share leaves in its window, less a part for what
     /// others' cold starts add and one stay; none over the limit on calls, kept as a mean over a fifth of the
     /// window so that it holds under one call at a time and bursts of all backends together are spread.
@@ -641,12 +642,11 @@
         let lingering = self.calls.iter().filter(|&&(_, end)| end > self.now).count();
         let open = (self.count(|it| it.stage == Stage::Calling) + lingering) as f64;
         let full = open >= (2.0 * limit).ceil().min(share.floor()).max(1.0);
-        let paced = self.used_below(0.2 * window) > 0.2 * window * limit;
         let room = share * window - self.used_below(window) - self.secs("FamilyInfo.StaysForUs", 0.0);
         // A call cut short stays below all the same: none without room for four mean ones.
         let four = if self.call_times.is_empty() { f64::MAX } else { 4.0 * mean(&self.call_times) };
         let enough = four.min(0.5 * share * window);
-        if full || paced || room < enough { 0.0 } else { room.max(0.0) }
+        if full || self.paced_below(1.0) || room < enough { 0.0 } else { room.max(0.0) }
     }
 
     /// The breaker: after five failures in a row (hardly chance) one trial at a time, each after a pause.
@@ -673,7 +673,10 @@
             let op = &self.ops[it.told.operation];
             let late = self.now + mean(&op.below) + 0.5 * self.core_time(it) > it.by;
             let dearer = |one: &Inv| one.stage == Stage::AtCall && self.stake(one) > self.stake(it);
-            let short = || self.room_below() == 0.0 && self.first(dearer).is_some();
+            // Half of the limit is kept for operations that can't do without, if such run here.
+            let needs = |op: &Operation| op.calls && op.skip_value == 0.0 && !op.runs.is_empty();
+            let kept = || self.ops.iter().any(needs) && self.paced_below(0.5);
+            let short = || kept() || self.room_below() == 0.0 && self.first(dearer).is_some();
             let skip = || !self.may_call(it) || self.breaker_holds() || late || short();
             it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip()
         })
@@ -711,8 +714,7 @@
 
     fn word_is_old(&self) -> Option<usize> {
         let due = self.now >= self.level_at + 0.25; // a quarter of how long callers keep a value
-        (due || self.told.is_none_or(|(good, _)| good == (self.leave_at.is_some() || self.hangs())))
-            .then_some(0)
+        (due || self.told.is_none_or(|told| told.0 == (self.leave_at.is_some() || self.hangs()))).then_some(0)
     }
 
     fn tell(&mut self, _: usize) {
@@ -731,16 +733,15 @@
             "allowance" => Some(each * (1.0 - level)),
             _ => None,
         };
-        self.out.health = Some(good).filter(|_| self.told.is_none_or(|(was, _)| was != good));
-        self.out.level = value.filter(|_| self.told.is_none_or(|(_, was)| was != value));
-        self.told = Some((good, value));
         let idle = self.keep_idle();
-        self.out.trim_after = Some(idle).filter(|&idle| idle >= 0.01 && idle != self.trimmed);
-        self.trimmed = idle;
+        let was = self.told.replace((good, value, idle));
+        self.out.health = Some(good).filter(|_| was.is_none_or(|was| was.0 != good));
+        self.out.level = value.filter(|_| was.is_none_or(|was| was.1 != value));
+        self.out.trim_after = Some(idle).filter(|_| idle >= 0.01 && was.is_none_or(|was| was.2 != idle));
     }
 
-    /// How long idle connections stay: a third of the callers' own time while half of the last ones had come
-    /// again within a fifth of it (holding costs as much as opening by then), else hardly at all. Guards
+    /// How long idle connections stay: a third of the callers' own time while half of the last callers had
+    /// come again within that time (a fifth of it: quiet days lose to openings), else hardly at all. Guards
     /// against a table full of callers who don't come back; harm: a few busy ones among many open anew.
     fn keep_idle(&self) -> f64 {
         let idle = self.secs("FamilyInfo.CallerIdleUs", 0.0);
--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -371,6 +371,20 @@
     insta::assert_snapshot!(calls);
 }
 
+#[test]
+fn half_of_the_calls_is_kept_for_what_cannot_do_without() {
+    let mut play = play(&[("FamilyInfo.CallShare", "0.3"), ("Classes.0.AimUs", "9000000")]);
+    let wait = Invocation { budget: Some(9.0), ..inv(0) };
+    for (number, operation) in [2, 0, 0, 0, 2].into_iter().enumerate() {
+        let at = 0.2 * number as f64;
+        play.arrive(at, number, Invocation { operation, ..wait.clone() });
+        play.wants(at + 0.01, number);
+        play.called(at + 0.05, number, OK);
+        play.end(at + 0.06, number, OK, 0.05);
+    }
+    insta::assert_snapshot!(play.trace);
+}
+
 #[test]
 fn a_setting_that_cannot_be_read_is_named() {
     let settings = [("FamilyInfo.Cores".to_owned(), "six".to_owned())].into();
