Pace calls only under one at a time; bound a further try's age by its budget

Now the mean over a second acts only under one call, the floor is one call or a quarter of the share, and the limit falls by a twentieth. A further try has spent at most what its passed budget lacks of the client timeout; where that says little, four tenths of the objective as before. Guards against throwing out young tries; harm: none seen where budgets are not passed, for nothing changes there.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -111,8 +111,7 @@
     progress: f64,
     entries: VecDeque<(f64, usize)>,
     calls: VecDeque<(f64, f64)>, // start and end of the last ones, of abandoned ones with their stay below
-    /// Durations of the last calls, the lowest mean of them, calls until it is taken anew.
-    call_times: VecDeque<f64>,
+    call_times: VecDeque<f64>,   // durations; then their lowest mean, and calls until it is taken anew
     call_lowest: f64,
     call_probe: u32,
     call_limit: f64,
@@ -188,8 +187,12 @@
         let arrived = now - told.age;
         let due = told.budget.map_or(arrived + op.timeout, |budget| now + budget);
         let stretched = op.objective + op.stretch * told.cost.unwrap_or(0.0);
-        let left = if told.again { 0.6 } else { 1.0 }; // the rest was spent elsewhere; 0.6 and 1 were tried
-        let by = (arrived + stretched.min(op.timeout) * left).min(due);
+        // A further try has spent time elsewhere: four tenths of the objective (0 tried), or less where the
+        // passed budget shows that its client still waits for nearly all of its time.
+        let aim = stretched.min(op.timeout);
+        let bound = told.budget.map_or(aim, |budget| op.timeout - budget - told.age);
+        let spent = bound.clamp(0.0, 0.4 * aim);
+        let by = (arrived + aim - if told.again { spent } else { 0.0 }).min(due);
         let over_share = self.beyond_share(told.customer);
         let before = self.callers.insert(told.caller, now).unwrap_or(f64::NEG_INFINITY);
         sample(&mut self.gaps, now - before);
@@ -340,7 +343,6 @@
         self.on_cores() as f64 >= self.for_runs() && self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5)
     }
 
-    /// One place for due times: the budget or the client timeout, and the stop of a leaving process.
     fn due(&self, it: &Inv) -> f64 {
         self.leave_at.map_or(it.due, |(_, stop)| it.due.min(stop - MARGIN))
     }
@@ -409,22 +411,22 @@
     }
 
     fn over_memory(&self) -> Option<usize> {
-        let heap = self.num("FamilyInfo.HeapKb", f64::INFINITY);
         let inv = self.newly_read()?;
         let tokened = self.ops[self.invs[inv].told.operation].tokened;
         let entry = if tokened { self.num("FamilyInfo.KeyKb", 0.0) } else { 0.0 };
-        // A tenth stays free for what is read before the next answer can be given.
-        (self.memory() + entry > 0.9 * heap).then_some(inv)
+        (entry > self.spare_memory()).then_some(inv)
     }
 
-    fn memory(&self) -> f64 {
+    /// Memory less what is in use and a tenth for what is read before an answer can be given.
+    fn spare_memory(&self) -> f64 {
         let factor = self.num("FamilyInfo.RunFactor", 1.0);
         let needs = |it: &Inv| match it.stage {
             Stage::Read | Stage::Held | Stage::Joined => it.told.held_kb,
             _ => it.told.held_kb * factor,
         };
         let invs: f64 = self.all(|_| true).map(needs).sum();
-        invs + self.entries.len() as f64 * self.num("FamilyInfo.KeyKb", 0.0)
+        let used = invs + self.entries.len() as f64 * self.num("FamilyInfo.KeyKb", 0.0);
+        0.9 * self.num("FamilyInfo.HeapKb", f64::INFINITY) - used
     }
 
     /// How many may be on the cores or about to come back to them: the told crowd, of a cold process only
@@ -488,14 +490,13 @@
     }
 
     fn startable(&self) -> Option<usize> {
-        let heap = self.num("FamilyInfo.HeapKb", f64::INFINITY);
         let factor = self.num("FamilyInfo.RunFactor", 1.0);
         let below = self.count(|it| matches!(it.stage, Stage::AtCall | Stage::Calling));
         let on = self.on_cores();
         if on as f64 >= self.for_runs() || (on + below) as f64 >= self.survivable() || self.hangs() {
             return None;
         }
-        let free = 0.9 * heap - self.memory();
+        let free = self.spare_memory();
         // Behind a jam below, work that calls only fills memory; half the cores' number may wait there.
         let stuck = |it: &Inv| it.stage == Stage::AtCall && self.ops[it.told.operation].skip_value == 0.0;
         let jam = self.breaker_holds() || self.count(stuck) as f64 >= 0.5 * self.cores();
@@ -592,8 +593,8 @@
     /// the last calls against the lowest such mean. Guards against a slow, crowded or shrunken dependency;
     /// harm: holds calls back after it has turned slower for good, until the lowest is taken anew.
     fn call_measured(&mut self, took: f64) {
-        // The mean of 8 call times strays by a third, and the lowest of many means of 24 lies as far under:
-        // twice that may be chance (0.4 held a free dependency's calls back), three times is not.
+        // The mean of 8 call times strays by a third, the lowest of many means of 24 lies as far under: twice
+        // that may be chance (0.4 held a free dependency's calls back), three times is not.
         const ALPHA: f64 = 0.5;
         const BETA: f64 = 0.67;
         sample(&mut self.call_times, took);
@@ -609,9 +610,10 @@
         }
         self.call_lowest = self.call_lowest.min(mean(&self.call_times));
         let queued = 1.0 - self.call_lowest / recent;
-        let step = 0.05 * f64::from(u8::from(queued < ALPHA)) - 0.1 * f64::from(u8::from(queued > BETA));
+        let step = f64::from(u8::from(queued < ALPHA)) - f64::from(u8::from(queued > BETA));
         let share = self.num("FamilyInfo.CallShare", f64::INFINITY);
-        self.call_limit = (self.call_limit * (1.0 + step)).clamp(0.1 * share, 0.8 * share); // less holds none
+        let least = (0.25 * share).min(1.0); // a tenth of the share fitted no call and shut some for good
+        self.call_limit = (self.call_limit * (1.0 + 0.05 * step)).clamp(least, 0.8 * share);
     }
 
     /// Time that calls have taken below over the last `span`, open ones too, abandoned ones with their stay.
@@ -634,8 +636,8 @@
     }
 
     /// Time that a call may take below: what the told share leaves in its window, less a part for what
-    /// others' cold starts add and one stay; none over the limit on calls, kept as a mean over a fifth of the
-    /// window so that it holds under one call at a time and bursts of all backends together are spread.
+    /// others' cold starts add and one stay; none over the limit on calls. Under one call it is a mean over a
+    /// fifth of the window: guards against hundreds of backends that always keep one, or burst together.
     fn room_below(&self) -> f64 {
         let share = self.num("FamilyInfo.CallShare", f64::INFINITY) * 0.8; // 0.5 tried: too few calls
         let (window, limit) = (self.call_window(), self.call_limit);
@@ -646,7 +648,7 @@
         // A call cut short stays below all the same: none without room for four mean ones.
         let four = if self.call_times.is_empty() { f64::MAX } else { 4.0 * mean(&self.call_times) };
         let enough = four.min(0.5 * share * window);
-        if full || self.paced_below(1.0) || room < enough { 0.0 } else { room.max(0.0) }
+        if full || limit < 1.0 && self.paced_below(1.0) || room < enough { 0.0 } else { room.max(0.0) }
     }
 
     /// The breaker: after five failures in a row (hardly chance) one trial at a time, each after a pause.
@@ -718,10 +720,9 @@
     }
 
     fn tell(&mut self, _: usize) {
-        // Rises fast while more than one in ten is turned away, and sinks slowly back.
         let turned = self.turned.iter().filter(|&&turned| turned).count();
         let more = turned * 10 > self.turned.len() && self.load() > Self::CUT_FROM;
-        self.level = (self.level + if more { 0.05 } else { -0.025 }).clamp(0.0, 0.7);
+        self.level = (self.level + if more { 0.05 } else { -0.025 }).clamp(0.0, 0.7); // rises fast
         self.turned.clear();
         self.level_at = self.now;
         let good = self.leave_at.is_none() && !self.hangs();
@@ -818,7 +819,6 @@
         self.count(|it| it.stage == Stage::Running)
     }
 
-    /// What counts against the limit: all but joined repeats and those at a call.
     fn in_hand(&self) -> usize {
         self.count(|it| matches!(it.stage, Stage::Read | Stage::Held | Stage::Running))
     }
