Judge runs by their hint before the first sample

Cause: a backend without samples expected runs to take no time, so that a cold successor in a rush took all that came and answered it too late. Change: until the first run of an operation ends, its hint counts, divided by the least share of its speed that a fresh process has. Guards also the first second of any process; could harm a fast machine, which turns some away until its first run ends. Where no hints come nothing changes.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -330,14 +330,13 @@
         (4.0 - (rank * 5.0).floor()) * 128.0 + (mixed >> 57) as f64 + 1.0
     }
 
-    /// Share of the cores busy. Where the gauge is old, or falls because work has stopped while reading
-    /// goes on, all cores count as busy: the cut must not then admit everything.
+    /// Share of the cores busy; all where the gauge is old, or falls because work has stopped while reading
+    /// goes on: the cut must not then admit everything.
     fn load(&self) -> f64 {
         if self.now - self.busy_at > 0.5 || self.hangs() { 1.0 } else { self.busy }
     }
 
-    /// Every core has a run and none has moved for long. Three mean runs without one step of at least
-    /// a core's number of them is far outside chance; harm: throttles through a pause of the same length.
+    /// Every core has a run and none has moved for three mean runs; harm: throttles through a long pause.
     fn hangs(&self) -> bool {
         let longest = self.ops.iter().map(|op| mean(&op.runs)).fold(0.0, f64::max);
         self.on_cores() as f64 >= self.for_runs() && self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5)
@@ -347,8 +346,7 @@
         self.leave_at.map_or(it.due, |(_, stop)| it.due.min(stop - MARGIN))
     }
 
-    /// The final answer to what can't be had any more: turned away if it never ran, else errored. A joined
-    /// repeat counts as run, since the one that it repeats may have.
+    /// The final answer to what can't be had: turned away if unrun, else errored, as is a joined repeat.
     fn give_up(&mut self, inv: usize) {
         let (now, it) = (self.now, &mut self.invs[inv]);
         if matches!(it.stage, Stage::Read | Stage::Held) && !it.told.repeats {
@@ -366,9 +364,8 @@
     fn throttle(&mut self, inv: usize) {
         let allowed = self.text("Allowed.RetryAfter") == "true";
         let most = if allowed { self.secs("Allowed.MaxRetryAfterUs", 0.0) } else { 0.0 };
-        // Half the work in hand, spread by chance so that callers don't come back together.
         let work: f64 = self.all(|_| true).map(|it| self.core_time(it)).sum();
-        let clear = work / self.cores() * (0.25 + 0.5 * self.chance());
+        let clear = work / self.cores() * (0.25 + 0.5 * self.chance()); // half of it, spread
         let away = if self.leave_at.is_some() { most } else { clear.min(most) };
         // Not elsewhere where it has been, nor while over a seventh of the last arrivals were further tries:
         // all turn away then. Guards against storms of tries; harm: lost where others have room.
@@ -429,14 +426,17 @@
         0.9 * self.num("FamilyInfo.HeapKb", f64::INFINITY) - used
     }
 
-    /// How many may be on the cores or about to come back to them: the told crowd, of a cold process only
-    /// what its least possible speed lets it survive.
-    fn survivable(&self) -> f64 {
+    /// The least possible share of its speed that a fresh process has by now.
+    fn warmth(&self) -> f64 {
         let from = self.num("Rules.StartCapacity", 0.0);
         let over = self.secs("Rules.WarmUpUs", 0.0).max(1e-6);
         let cold = self.text("FamilyInfo.FreshStart") == "true";
-        let warm = if cold { (from + (1.0 - from) * (self.now - self.born) / over).min(1.0) } else { 1.0 };
-        let crowd = self.cores() * (1.0 + (self.num("Rules.FallMultiple", 2.0) - 1.0) * warm);
+        if cold { (from + (1.0 - from) * (self.now - self.born) / over).min(1.0) } else { 1.0 }
+    }
+
+    /// How many may be on the cores or about to come back to them: the told crowd, less while cold.
+    fn survivable(&self) -> f64 {
+        let crowd = self.cores() * (1.0 + (self.num("Rules.FallMultiple", 2.0) - 1.0) * self.warmth());
         (crowd * 0.9).floor().max(1.0) // a tenth less, since the mean is taken over finer steps than ours
     }
 
@@ -521,8 +521,8 @@
         self.out.started.push(inv);
     }
 
-    /// Billed value by second of core. A marked further try has spent a part of its objective: half. Guards
-    /// against retries that take the cores from first tries; harm: one turned away at once waits longer.
+    /// Billed value by second of core. A marked further try counts half: guards against retries that take the
+    /// cores from first tries; harm: one turned away at once waits longer.
     fn density(&self, it: &Inv) -> f64 {
         let op = &self.ops[it.told.operation];
         let again = if it.told.again { 0.5 } else { 1.0 }; // 0.2 tried: no better
@@ -547,7 +547,10 @@
     }
 
     fn core_time(&self, it: &Inv) -> f64 {
-        self.rates[it.told.operation] * it.told.cost.unwrap_or(1.0)
+        // Unsampled: by the hint, longer while cold. Guards successors in a rush; harm: fast ones refuse.
+        let unknown = self.ops[it.told.operation].runs.is_empty();
+        let least = if unknown && it.told.cost.is_some() { 1.0 / self.warmth().max(0.1) } else { 0.0 };
+        self.rates[it.told.operation].max(least) * it.told.cost.unwrap_or(1.0)
     }
 
     fn whole_time(&self, it: &Inv) -> f64 {
@@ -588,8 +591,7 @@
         }
     }
 
-    /// The Vegas update for calls: whatever crowds what lies below, other backends too, shows in the mean of
-    /// the last calls against the lowest such mean. Guards against a slow, crowded or shrunken dependency;
+    /// The Vegas update for calls: guards against a dependency that is slow, shrunken or crowded by whomever;
     /// harm: holds calls back after it has turned slower for good, until the lowest is taken anew.
     fn call_measured(&mut self, took: f64) {
         // The mean of 8 call times strays by a third, the lowest of many means of 24 lies as far under: twice
--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -149,6 +149,23 @@
     insta::assert_snapshot!(play.trace);
 }
 
+#[test]
+fn a_cold_backend_judges_by_hints_before_its_first_sample() {
+    for fresh in ["true", "false"] {
+        let cold = [
+            ("FamilyInfo.FreshStart", fresh),
+            ("Rules.WarmUpUs", "10000000"),
+            ("Rules.StartCapacity", "0.2"),
+        ];
+        let mut play = play(&cold);
+        play.wake(0.1, 0.5);
+        for number in 0..4 {
+            play.arrive(0.1, number, Invocation { cost: Some(0.1), ..inv(0) });
+        }
+        insta::assert_snapshot!(format!("fresh_{fresh}"), play.trace);
+    }
+}
+
 #[test]
 fn a_first_try_too_long_for_this_machine_goes_elsewhere() {
     let mut play = play(&[]);
