Take turns below where a share holds no call in its window

Found on reading: under about an eighth of a call the window is stretched so that a backend may call at all, but hundreds of backends meeting a jam together could each spend a stretched window's time at once and pass what the dependency survives. Now each calls only in its own part of the stretched window, by its seed. Guards fleets some times larger than today's; harm: what can't do without calls waits for its turn or is given up.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -187,8 +187,7 @@
         let arrived = now - told.age;
         let due = told.budget.map_or(arrived + op.timeout, |budget| now + budget);
         let stretched = op.objective + op.stretch * told.cost.unwrap_or(0.0);
-        // A further try has spent time elsewhere: four tenths of the objective (0 tried), or less where the
-        // passed budget shows that its client still waits for nearly all of its time.
+        // A further try has spent four tenths of the objective elsewhere (0 tried), or less by its budget.
         let aim = stretched.min(op.timeout);
         let bound = told.budget.map_or(aim, |budget| op.timeout - budget - told.age);
         let spent = bound.clamp(0.0, 0.4 * aim);
@@ -197,7 +196,6 @@
         let before = self.callers.insert(told.caller, now).unwrap_or(f64::NEG_INFINITY);
         sample(&mut self.gaps, now - before);
         sample(&mut self.agains, f64::from(u8::from(told.again)));
-        // A repeat of what was turned away unrun in this very batch is a first try.
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
         self.invs.resize_with(self.invs.len().max(inv + 1), Inv::default);
         self.invs[inv] = Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() };
@@ -426,7 +424,6 @@
         0.9 * self.num("FamilyInfo.HeapKb", f64::INFINITY) - used
     }
 
-    /// The least possible share of its speed that a fresh process has by now.
     fn warmth(&self) -> f64 {
         let from = self.num("Rules.StartCapacity", 0.0);
         let over = self.secs("Rules.WarmUpUs", 0.0).max(1e-6);
@@ -557,8 +554,7 @@
         self.core_time(it) + mean(&self.ops[it.told.operation].below)
     }
 
-    /// Whether this arrival is over its customer's share: by chance, in proportion to what is over, once the
-    /// rate here times the backends is clearly above the share.
+    /// Whether this arrival is over its customer's share: by chance, in proportion, once it clearly is here.
     fn beyond_share(&mut self, customer: usize) -> bool {
         let quota = self.num(&format!("Tenants.{customer}.QuotaPerS"), 0.0);
         let (now, servers) = (self.now, self.num("Servers", 1.0));
@@ -648,8 +644,12 @@
         let room = share * window - self.used_below(window) - self.secs("FamilyInfo.StaysForUs", 0.0);
         // A call cut short stays below all the same: none without room for four mean ones.
         let four = if self.call_times.is_empty() { f64::MAX } else { 4.0 * mean(&self.call_times) };
-        let enough = four.min(0.5 * share * window);
-        if full || limit < 1.0 && self.paced_below(1.0) || room < enough { 0.0 } else { room.max(0.0) }
+        // In a window longer than the told one backends take turns by seed: together they keep to the told.
+        let told = self.secs("FamilyInfo.DepWindowUs", 5.0).max(1e-6);
+        let turns = (window / told).ceil() as u64; // 1 or more
+        let others = ((self.now / told) as u64).wrapping_add(self.salt) % turns != 0;
+        let none = full || others || limit < 1.0 && self.paced_below(1.0);
+        if none || room < four.min(0.5 * share * window) { 0.0 } else { room.max(0.0) }
     }
 
     /// The breaker: after five failures in a row (hardly chance) one trial at a time, each after a pause.
