--- /dev/null
+++ b/crates/merlinshelf-backend/src/client/catalogue.rs
@@ -0,0 +1,172 @@
+//! Calls below. Each lane is a connection of its own, opened on need and closed when idle.
+
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, warn};
+use merlinshelf_protocol::CallId;
+use merlinshelf_protocol::catalogue::{self, Reply};
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::select;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+use super::connect;
+use crate::exchange::{Called, Order, Shared};
+use crate::ring::{Flow, Ring};
+
+/// Idle connections are closed well before the far end does so after 10 s: a call that met its close
+/// would have an end that proves nothing.
+const IDLE_MOST: Duration = Duration::from_secs(7);
+/// With more than this unsent, orders wait in the exchange.
+const UNSENT_MOST: usize = 256 * 1024;
+
+struct Lane {
+    number: usize,
+    exchange: Shared,
+    /// Sent and not replied to.
+    open: HashSet<CallId>,
+    coming: Ring,
+    going: Ring,
+    idle_since: Instant,
+}
+
+/// Serves one lane for as long as the program runs.
+pub async fn serve(address: SocketAddr, exchange: Shared, number: usize) {
+    let wake = exchange.borrow().orders_wake(number);
+    let (coming, going) = (Ring::default(), Ring::default());
+    let mut lane = Lane { number, exchange, open: HashSet::new(), coming, going, idle_since: Instant::now() };
+    loop {
+        let first = loop {
+            match lane.next() {
+                Some(order @ Order::Invoke { .. }) => break order,
+                Some(Order::Cancel { .. }) => {} // given up with the connection that it was on
+                None => wake.notified().await,
+            }
+        };
+        match connect(address).await {
+            Ok(socket) => {
+                lane.idle_since = Instant::now();
+                lane.send(first);
+                if let Err(error) = lane.run(&socket, &wake).await {
+                    warn!("lane {number} to the catalogue broke with {} calls: {error}", lane.open.len());
+                }
+                drop(socket);
+                lane.end();
+            }
+            Err(error) => {
+                warn!("the catalogue can't be reached: {error}");
+                lane.refuse(first);
+            }
+        }
+    }
+}
+
+impl Lane {
+    fn next(&self) -> Option<Order> {
+        self.exchange.borrow_mut().next_order(self.number)
+    }
+
+    /// Nothing that waited for a connection that never stood has run.
+    fn refuse(&mut self, first: Order) {
+        let mut next = Some(first);
+        while let Some(order) = next {
+            if let Order::Invoke { id, .. } = order {
+                self.exchange.borrow_mut().call_ended(id, self.number, Called::NeverRan);
+            }
+            next = self.next();
+        }
+    }
+
+    /// The connection is gone. That proves nothing of what was sent on it.
+    fn end(&mut self) {
+        self.coming.clear();
+        self.going.clear();
+        for id in std::mem::take(&mut self.open) {
+            self.exchange.borrow_mut().call_ended(id, self.number, Called::Failed);
+        }
+    }
+
+    fn send(&mut self, order: Order) {
+        match order {
+            Order::Invoke { id, wait, body } => {
+                self.open.insert(id);
+                catalogue::invoke(&mut self.going, id, (wait * 1e3).ceil() as u64, &body);
+            }
+            Order::Cancel { id } => {
+                if self.open.remove(&id) {
+                    catalogue::cancel(&mut self.going, id);
+                }
+            }
+        }
+        self.idle_since = Instant::now();
+    }
+
+    async fn run(&mut self, socket: &TcpStream, wake: &Rc<Notify>) -> io::Result<()> {
+        loop {
+            // Read first, so that nothing is sent where the far end has closed already.
+            match self.coming.fill(socket)? {
+                Flow::Ended => return Ok(()),
+                Flow::Moved => self.take_in()?,
+                Flow::Blocked => {}
+            }
+            while self.going.len() <= UNSENT_MOST {
+                let Some(order) = self.next() else { break };
+                self.send(order);
+            }
+            let blocked = self.going.drain(socket)? == Flow::Blocked;
+            let interest = if blocked { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+            let idle = self.open.is_empty() && !blocked;
+            select! {
+                biased;
+                ready = socket.ready(interest) => { ready?; }
+                () = wake.notified() => {}
+                () = sleep_until(self.idle_since + IDLE_MOST), if idle => {
+                    debug!("lane {} to the catalogue is idle and closed", self.number);
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    fn take_in(&mut self) -> io::Result<()> {
+        let mut coming = std::mem::take(&mut self.coming);
+        let bytes = coming.whole();
+        let mut used = 0;
+        let result = loop {
+            match catalogue::reply(&bytes[used..]) {
+                Ok(None) => break Ok(()),
+                Ok(Some(((id, reply), count))) => {
+                    used += count;
+                    self.replied(id, reply);
+                }
+                Err(fault) => {
+                    let start = &bytes[used..bytes.len().min(used + 100)];
+                    warn!("{fault}: {}", start.escape_ascii());
+                    break Err(io::Error::new(io::ErrorKind::InvalidData, fault.0));
+                }
+            }
+        };
+        coming.consume(used);
+        self.coming = coming;
+        result
+    }
+
+    fn replied(&mut self, id: CallId, reply: Reply) {
+        self.idle_since = Instant::now();
+        if !self.open.remove(&id) {
+            self.exchange.borrow_mut().counters.late_replies += 1;
+            return;
+        }
+        let called = match reply {
+            Reply::Succeeded(body) => Called::Succeeded(body.into()),
+            Reply::Overload | Reply::Stale => Called::NeverRan,
+            Reply::Internal | Reply::Deadline => Called::Failed,
+        };
+        self.exchange.borrow_mut().call_ended(id, self.number, called);
+    }
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/src/client/members.rs
@@ -0,0 +1,84 @@
+//! Reports to the membership service that keep this backend listed. Whatever becomes of them harms nothing.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::{debug, warn};
+use merlinshelf_protocol::members;
+use tokio::net::TcpStream;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::connect;
+use crate::exchange::Shared;
+use crate::ring::{Flow, Ring};
+
+/// The service drops a name after 3 s without a report: three may be late or lost.
+const EVERY: Duration = Duration::from_millis(700);
+const WAIT_MOST: Duration = Duration::from_millis(600);
+
+/// Reports for as long as the program runs.
+pub async fn report(address: SocketAddr, name: String, exchange: Shared) {
+    let host = address.to_string();
+    let mut ticks = interval(EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut kept: Option<TcpStream> = None;
+    let mut failing = false;
+    loop {
+        ticks.tick().await;
+        let up = !exchange.borrow().leaving();
+        let mut going = Ring::default();
+        members::report(&mut going, &host, &name, up);
+        let outcome = match timeout(WAIT_MOST, once(address, kept.take(), going)).await {
+            Ok(outcome) => outcome,
+            Err(late) => Err(late.into()),
+        };
+        let counters = &mut exchange.borrow_mut().counters;
+        match outcome {
+            Ok(socket) => {
+                counters.reports += 1;
+                failing = false;
+                kept = socket;
+            }
+            Err(error) => {
+                counters.failed_reports += 1;
+                if failing {
+                    debug!("the membership service: {error}");
+                } else {
+                    warn!("the membership service can't be told: {error}");
+                }
+                failing = true;
+            }
+        }
+    }
+}
+
+/// One report; the connection comes back where it may carry the next.
+async fn once(
+    address: SocketAddr,
+    kept: Option<TcpStream>,
+    mut going: Ring,
+) -> io::Result<Option<TcpStream>> {
+    let mut coming = Ring::default();
+    // One that the far end has closed since is seen here and replaced.
+    let alive = kept.filter(|socket| matches!(coming.fill(socket), Ok(Flow::Blocked)));
+    let socket = match alive {
+        Some(socket) => socket,
+        None => connect(address).await?,
+    };
+    while going.drain(&socket)? == Flow::Blocked {
+        socket.writable().await?;
+    }
+    loop {
+        socket.readable().await?;
+        if coming.fill(&socket)? == Flow::Ended {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let read = members::answer(coming.whole());
+        match read.map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault.0))? {
+            None => {}
+            Some((answer, _)) if answer.status == 204 => return Ok(answer.keep.then_some(socket)),
+            Some((answer, _)) => return Err(io::Error::other(format!("status {}", answer.status))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/src/config.rs
@@ -0,0 +1,109 @@
+//! What the platform tells a backend at its start: one JSON file, read once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use merlinshelf::Settings;
+use serde_json::{Map, Value};
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub engine: SocketAddr,
+    pub members: SocketAddr,
+    pub catalogue: SocketAddr,
+    pub seed: u64,
+    /// From the notice to leave until the process is killed.
+    pub stop: Duration,
+    pub memory_mb: u64,
+    pub sockets: usize,
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Reads the text of the file. What can't be used is named.
+    pub fn read(text: &str) -> Result<Config, String> {
+        let whole: Value = serde_json::from_str(text).map_err(|error| format!("no JSON: {error}"))?;
+        let whole = whole.as_object().ok_or("the configuration is no object")?;
+        let seed = string(whole, "seed")?;
+        let limits = object(whole, "limits")?;
+        let mut settings = Settings::new();
+        for (name, value) in object(whole, "settings")? {
+            flatten(name, value, &mut settings);
+        }
+        if settings.is_empty() {
+            return Err("settings: empty".into());
+        }
+        let name = string(whole, "name")?;
+        if !name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)) {
+            return Err(format!("name: {name:?} can't stand in a path"));
+        }
+        Ok(Config {
+            name: name.into(),
+            listen: address(whole, "listen")?,
+            engine: address(whole, "engine")?,
+            members: address(whole, "members")?,
+            catalogue: address(whole, "backend")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?,
+            stop: Duration::from_secs_f64(positive(whole, "stop_ms")?.min(1e9) / 1e3),
+            memory_mb: positive(limits, "memory_mb")? as u64,
+            sockets: positive(limits, "sockets")? as usize,
+            settings,
+        })
+    }
+}
+
+fn need<'a>(map: &'a Map<String, Value>, name: &str) -> Result<&'a Value, String> {
+    map.get(name).ok_or(format!("{name}: missing"))
+}
+
+fn object<'a>(map: &'a Map<String, Value>, name: &str) -> Result<&'a Map<String, Value>, String> {
+    need(map, name)?.as_object().ok_or(format!("{name}: no object"))
+}
+
+fn string<'a>(map: &'a Map<String, Value>, name: &str) -> Result<&'a str, String> {
+    let text = need(map, name)?.as_str().ok_or(format!("{name}: no text"))?;
+    if text.is_empty() { Err(format!("{name}: empty")) } else { Ok(text) }
+}
+
+fn address(map: &Map<String, Value>, name: &str) -> Result<SocketAddr, String> {
+    let text = string(map, name)?;
+    text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
+}
+
+fn positive(map: &Map<String, Value>, name: &str) -> Result<f64, String> {
+    let value = need(map, name)?;
+    let number = value.as_f64().filter(|number| number.is_finite() && *number > 0.0);
+    number.ok_or(format!("{name}: {value} is no number above 0"))
+}
+
+/// Names and texts just as the bench's first message has them, so that the module reads the same.
+fn flatten(path: &str, value: &Value, settings: &mut Settings) {
+    match value {
+        Value::Object(map) => {
+            map.iter().for_each(|(name, value)| flatten(&format!("{path}.{name}"), value, settings));
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            settings.insert(format!("{path}.count"), items.len().to_string());
+            for (place, item) in items.iter().enumerate() {
+                flatten(&format!("{path}.{place}"), item, settings);
+            }
+        }
+        Value::Array(items) => {
+            let texts: Vec<String> = items.iter().map(plain).collect();
+            settings.insert(path.into(), texts.join(","));
+        }
+        Value::Null => {}
+        value => {
+            settings.insert(path.into(), plain(value));
+        }
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.replace([' ', ','], "_"),
+        value => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/src/counters.rs
@@ -0,0 +1,32 @@
+//! What the program took in, sent and answered since its start.
+
+use std::fmt;
+
+/// One number for each thing counted, printed by name.
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters { $(pub $name: u64),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+                let pairs = [$(concat!(stringify!($name), "=").to_owned() + &self.$name.to_string()),*];
+                out.write_str(&pairs.join(" "))
+            }
+        }
+    };
+}
+
+counters! {
+    // from edge nodes and to them
+    connections, refused_connections, invocations, checks, bad, aborted, too_many,
+    succeeded, throttled, errored, unheard,
+    // to the engine and from it
+    engine_links, runs, feeds, skips, stats, done, needs, refused_commands, repeated,
+    // calls below
+    calls, calls_succeeded, calls_never_ran, calls_failed, calls_timed_out, cancels, late_replies,
+    // membership
+    reports, failed_reports,
+    // most at one time
+    most_in_hand, most_doors,
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/src/exchange/hand.rs
@@ -0,0 +1,82 @@
+//! The invocations in hand, by the module's number and by their id.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use merlinshelf_protocol::CallId;
+
+/// Where an answer goes: a connection's door, and the invocation's tag on that connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub door: usize,
+    pub tag: u16,
+}
+
+#[derive(Debug)]
+pub struct InHand {
+    pub id: CallId,
+    pub operation: usize,
+    pub body: Rc<[u8]>,
+    /// None once it was answered or nobody is left to answer.
+    pub reply: Option<Reply>,
+    /// The last notice that asked for a call: its number and the call's body.
+    pub need: Option<(u64, Rc<[u8]>)>,
+    /// Calls made so far, and whether the last one is open.
+    pub calls: usize,
+    pub calling: bool,
+    /// How many notices the engine has sent about it.
+    pub heard: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Hand {
+    places: Vec<Option<InHand>>,
+    free: Vec<usize>,
+    by_id: HashMap<CallId, usize>,
+}
+
+impl Hand {
+    pub fn take(&mut self, one: InHand) -> usize {
+        let number = self.free.pop().unwrap_or(self.places.len());
+        if number == self.places.len() {
+            self.places.push(None);
+        }
+        self.by_id.insert(one.id, number);
+        self.places[number] = Some(one);
+        number
+    }
+
+    /// The one place where an invocation's number and all it holds are given back.
+    pub fn give_back(&mut self, number: usize) -> Option<InHand> {
+        let one = self.places.get_mut(number)?.take()?;
+        self.by_id.remove(&one.id);
+        self.free.push(number);
+        Some(one)
+    }
+
+    pub fn get(&mut self, number: usize) -> Option<&mut InHand> {
+        self.places.get_mut(number)?.as_mut()
+    }
+
+    pub fn find(&self, id: CallId) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Those whose answers would go through this door.
+    pub fn behind(&self, door: usize) -> Vec<usize> {
+        self.numbers(|one| one.reply.is_some_and(|reply| reply.door == door))
+    }
+
+    pub fn all(&self) -> Vec<usize> {
+        self.numbers(|_| true)
+    }
+
+    fn numbers(&self, which: impl Fn(&InHand) -> bool) -> Vec<usize> {
+        let filled = self.places.iter().enumerate();
+        filled.filter(|(_, one)| one.as_ref().is_some_and(&which)).map(|(number, _)| number).collect()
+    }
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/src/exchange/outbox.rs
@@ -0,0 +1,38 @@
+//! A queue from the exchange to one side, which wakes that side.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+#[derive(Debug)]
+pub struct Outbox<T> {
+    waiting: VecDeque<T>,
+    wake: Rc<Notify>,
+}
+
+impl<T> Default for Outbox<T> {
+    fn default() -> Self {
+        Outbox { waiting: VecDeque::new(), wake: Rc::default() }
+    }
+}
+
+impl<T> Outbox<T> {
+    pub fn push(&mut self, item: T) {
+        self.waiting.push_back(item);
+        self.wake.notify_one();
+    }
+
+    pub fn pop(&mut self) -> Option<T> {
+        self.waiting.pop_front()
+    }
+
+    /// Wakes the side without a message, to look at the exchange anew.
+    pub fn nudge(&self) {
+        self.wake.notify_one();
+    }
+
+    pub fn wake(&self) -> Rc<Notify> {
+        self.wake.clone()
+    }
+}
