--- a/crates/merlinshelf-backend/src/client/catalogue.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue.rs
@@ -41,17 +41,12 @@
     let (coming, going) = (Ring::default(), Ring::default());
     let mut lane = Lane { number, exchange, open: HashSet::new(), coming, going, idle_since: Instant::now() };
     loop {
-        let first = loop {
-            match lane.next() {
-                Some(order @ Order::Invoke { .. }) => break order,
-                Some(Order::Cancel { .. }) => {} // given up with the connection that it was on
-                None => wake.notified().await,
-            }
-        };
+        while !lane.exchange.borrow().has_orders(number) {
+            wake.notified().await;
+        }
         match connect(address).await {
             Ok(socket) => {
                 lane.idle_since = Instant::now();
-                lane.send(first);
                 if let Err(error) = lane.run(&socket, &wake).await {
                     warn!("lane {number} to the catalogue broke with {} calls: {error}", lane.open.len());
                 }
@@ -60,7 +55,7 @@
             }
             Err(error) => {
                 warn!("the catalogue can't be reached: {error}");
-                lane.refuse(first);
+                lane.refuse();
             }
         }
     }
@@ -72,13 +67,12 @@
     }
 
     /// Nothing that waited for a connection that never stood has run.
-    fn refuse(&mut self, first: Order) {
-        let mut next = Some(first);
-        while let Some(order) = next {
+    fn refuse(&mut self) {
+        let mut orders: Vec<Order> = std::iter::from_fn(|| self.next()).collect();
+        for order in orders.drain(..) {
             if let Order::Invoke { id, .. } = order {
                 self.exchange.borrow_mut().call_ended(id, self.number, Called::NeverRan);
             }
-            next = self.next();
         }
     }
 
--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -22,6 +22,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(10);
 /// A link on which a question stays unanswered for so long is dead and is replaced.
 const SILENT_MOST: Duration = Duration::from_secs(3);
+/// Two words on when the engine was started that lie no further apart mean the same start.
+const SAME_START: Duration = Duration::from_secs(1);
 /// With more than this unsent, commands wait in the exchange.
 const UNSENT_MOST: usize = 256 * 1024;
 
@@ -34,6 +36,8 @@
     /// tag of the next question, whose answer proves that it was read.
     unsure: VecDeque<(u64, Command, u64)>,
     tag: u64,
+    /// When the engine was started, as it said.
+    born: Option<Instant>,
 }
 
 /// One link.
@@ -50,7 +54,7 @@
 
 /// Holds the link for as long as the program runs.
 pub async fn hold(address: SocketAddr, exchange: Shared) {
-    let mut engine = Engine { exchange, last: 0, unsure: VecDeque::new(), tag: 0 };
+    let mut engine = Engine { exchange, last: 0, unsure: VecDeque::new(), tag: 0, born: None };
     loop {
         match connect(address).await {
             Ok(socket) => {
@@ -163,7 +167,19 @@
             Notice::Hello { warm, up_ms } => {
                 info!("the engine is up, {} for {up_ms} ms", if warm { "warm" } else { "cold" });
                 link.hello = true;
-                exchange.engine_up(warm, up_ms / 1e3);
+                let up = Duration::from_secs_f64((up_ms / 1e3).clamp(0.0, 1e6));
+                let born = Instant::now().checked_sub(up);
+                let anew = match (self.born, born) {
+                    (Some(before), Some(now)) => now > before + SAME_START,
+                    _ => false,
+                };
+                if anew {
+                    warn!("this is another engine than before; what ran there is gone");
+                    (self.last, self.born) = (0, born);
+                    self.unsure.clear();
+                }
+                self.born = self.born.or(born);
+                exchange.engine_up(warm, up.as_secs_f64(), anew);
             }
             Notice::Done { id, end, took_ms, result, .. } => exchange.ended(id, end, took_ms / 1e3, result),
             Notice::Need { number, id, body } => exchange.wants_call(id, number, body),
--- a/crates/merlinshelf-backend/src/client/members.rs
+++ b/crates/merlinshelf-backend/src/client/members.rs
@@ -7,6 +7,7 @@
 use log::{debug, warn};
 use merlinshelf_protocol::members;
 use tokio::net::TcpStream;
+use tokio::select;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::connect;
@@ -20,12 +21,16 @@
 /// Reports for as long as the program runs.
 pub async fn report(address: SocketAddr, name: String, exchange: Shared) {
     let host = address.to_string();
+    let left = exchange.borrow().left();
     let mut ticks = interval(EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut kept: Option<TcpStream> = None;
     let mut failing = false;
     loop {
-        ticks.tick().await;
+        select! {
+            _ = ticks.tick() => {}
+            () = left.notified() => {}
+        }
         let up = !exchange.borrow().leaving();
         let mut going = Ring::default();
         members::report(&mut going, &host, &name, up);
--- a/crates/merlinshelf-backend/src/counters.rs
+++ b/crates/merlinshelf-backend/src/counters.rs
@@ -17,6 +17,14 @@
     };
 }
 
+/// What the process itself uses: most memory so far, and descriptors now.
+pub fn usage() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).map_or("?", str::trim);
+    let open = std::fs::read_dir("/proc/self/fd").map_or(0, |all| all.count().saturating_sub(1));
+    format!("memory_peak={} descriptors={open}", peak.replace(' ', ""))
+}
+
 counters! {
     // from edge nodes and to them
     connections, refused_connections, invocations, checks, bad, aborted, too_many,
--- a/crates/merlinshelf-backend/src/exchange/hand.rs
+++ b/crates/merlinshelf-backend/src/exchange/hand.rs
@@ -24,6 +24,8 @@
     /// Calls made so far, and whether the last one is open.
     pub calls: usize,
     pub calling: bool,
+    /// Whether a run of it was ever started.
+    pub begun: bool,
     /// How many notices the engine has sent about it.
     pub heard: u64,
 }
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -34,6 +34,13 @@
 /// names only the invocation, and must not pass for the reply to the next.
 pub const LANES: usize = 3;
 
+/// Of the memory told, a quarter is for invocations in hand at 20 KB each: a body, a result and a call's two
+/// by the page's sizes, and as much again. Far more than the module ever holds: it bounds what a broken peer can do.
+const HAND_KB: usize = 4 * 20;
+
+/// With a full table of connections, idle ones stay no longer than this, so that others get in.
+const CROWDED_IDLE: Duration = Duration::from_millis(20);
+
 /// Gauges that are older than this say nothing about now.
 const GAUGES_AGE: Duration = Duration::from_millis(100);
 
@@ -111,15 +118,18 @@
     gauges: Option<(Instant, BTreeMap<String, f64>)>,
     commands: Outbox<(Command, u64)>,
     orders: [Outbox<Order>; LANES],
+    left: Rc<Notify>,
     healthy: bool,
     trim_after: Duration,
+    crowded: bool,
     closing: bool,
+    hand_most: usize,
     pub counters: Counters,
 }
 
 impl Exchange {
     /// Fails where the module can't read a setting, naming it.
-    pub fn new(settings: Settings, seed: u64) -> Result<Exchange, String> {
+    pub fn new(settings: Settings, seed: u64, memory_mb: u64) -> Result<Exchange, String> {
         Shedder::start(0.0, seed, settings.clone())?;
         let count = settings.get("Classes.count").and_then(|count| count.parse().ok()).unwrap_or(0);
         let names = (0..count).map(|place| {
@@ -130,6 +140,14 @@
         if names.is_empty() || names.iter().any(|name| name.is_empty()) {
             return Err("settings: Classes lacks an operation or one's Name".into());
         }
+        // The wire brings no token by which a repeat could be known, so that such an operation might run twice.
+        let tokened = |place: &usize| {
+            let effect = settings.get(&format!("Classes.{place}.Effect"));
+            effect.is_some_and(|effect| effect == "idempotency_key")
+        };
+        if let Some(place) = (0..count).find(tokened) {
+            return Err(format!("settings: Classes.{place}.Effect: repeats can't be known on this wire"));
+        }
         let operations = names.iter().enumerate().map(|(place, name)| (name.as_bytes().to_vec(), place));
         let meters = settings.get("FamilyInfo.Meters").map_or("", String::as_str);
         let idle = settings.get("FamilyInfo.CallerIdleUs").and_then(|us| us.parse().ok()).unwrap_or(0);
@@ -151,8 +169,11 @@
             gauges: None,
             commands: Outbox::default(),
             orders: Default::default(),
+            left: Rc::default(),
             healthy: true,
+            crowded: false,
             closing: false,
+            hand_most: (memory_mb as usize * 1024 / HAND_KB).max(1),
             counters: Counters::default(),
         })
     }
@@ -206,11 +227,24 @@
 
     /// How long a connection with nothing open may stay; none at all once the program is closing.
     pub fn trim_after(&self) -> Duration {
-        if self.closing { Duration::ZERO } else { self.trim_after }
+        match (self.closing, self.crowded) {
+            (true, _) => Duration::ZERO,
+            (_, true) => self.trim_after.min(CROWDED_IDLE),
+            _ => self.trim_after,
+        }
     }
 
-    pub fn closing(&self) -> bool {
-        self.closing
+    /// Whether all connections there may be are in use.
+    pub fn set_crowded(&mut self, crowded: bool) {
+        if crowded != self.crowded {
+            self.crowded = crowded;
+            self.doors.nudge_all();
+        }
+    }
+
+    /// Whether one more invocation can be taken in hand.
+    pub fn has_room(&self) -> bool {
+        self.hand.len() < self.hand_most
     }
 
     /// From now on connections with nothing open are closed.
@@ -235,11 +269,13 @@
             need: None,
             calls: 0,
             calling: false,
+            begun: false,
             heard: 0,
         };
         let inv = self.hand.take(one);
         self.counters.most_in_hand = self.counters.most_in_hand.max(self.hand.len() as u64);
         if self.shedder.is_none() {
+            warn!("{id} came before the engine was up");
             self.answer(inv, Answer::Throttled { away: 0.0, last: false });
             self.hand.give_back(inv);
             return true;
@@ -270,9 +306,10 @@
         self.commands.pop()
     }
 
-    /// The engine has said HELLO: the first time the module starts, cold or warm as the engine did.
-    pub fn engine_up(&mut self, warm: bool, up: f64) {
-        if self.shedder.is_some() {
+    /// The engine has said HELLO: the module starts, cold or warm as the engine did. Starts it anew where the
+    /// engine has been started anew, whose runs are then all gone.
+    pub fn engine_up(&mut self, warm: bool, up: f64, anew: bool) {
+        if self.shedder.is_some() && !anew {
             return;
         }
         let name = "FamilyInfo.FreshStart";
@@ -280,13 +317,16 @@
         if self.settings.insert(name.into(), fresh.into()).is_some_and(|told| told != fresh) {
             info!("the engine started {}, other than {name} says", if warm { "warm" } else { "cold" });
         }
-        self.start(up.clamp(0.0, self.epoch));
+        if anew {
+            return self.start_over(up);
+        }
+        self.start(up);
     }
 
     /// Starts the module as of the engine's own start.
     fn start(&mut self, up: f64) {
         let (seed, settings) = (self.seed, self.settings.clone());
-        let born = self.seconds() - up;
+        let born = (self.seconds() - up).max(0.0);
         match catch_unwind(|| Shedder::start(born, seed, settings)) {
             Ok(Ok((shedder, decided))) => {
                 self.shedder = Some(shedder);
@@ -379,15 +419,30 @@
         self.orders[lane].wake()
     }
 
+    /// The next order on that lane; a call that was given up before it was sent is left out.
     pub fn next_order(&mut self, lane: usize) -> Option<Order> {
-        self.orders[lane].pop()
+        loop {
+            match self.orders[lane].pop()? {
+                Order::Invoke { id, .. } if !self.awaits(id, lane) => {}
+                order => return Some(order),
+            }
+        }
+    }
+
+    pub fn has_orders(&self, lane: usize) -> bool {
+        !self.orders[lane].is_empty()
+    }
+
+    /// Whether a call of that invocation is open on that lane.
+    fn awaits(&mut self, id: CallId, lane: usize) -> bool {
+        let one = self.hand.find(id).and_then(|inv| self.hand.get(inv));
+        one.is_some_and(|one| one.calling && one.calls % LANES == lane)
     }
 
     /// A call on that lane has ended.
     pub fn call_ended(&mut self, id: CallId, lane: usize, called: Called) {
-        let inv = self.hand.find(id);
-        let open = |one: &mut InHand| one.calling && one.calls % LANES == lane;
-        let Some(inv) = inv.filter(|&inv| self.hand.get(inv).is_some_and(open)) else {
+        let awaited = self.awaits(id, lane);
+        let Some(inv) = self.hand.find(id).filter(|_| awaited) else {
             self.counters.late_replies += 1;
             return;
         };
@@ -457,6 +512,7 @@
     /// The notice to leave: by `stop` the process has to be gone.
     pub fn leave(&mut self, stop: Instant) {
         self.leaving = Some(stop);
+        self.left.notify_one();
         let left = stop.saturating_duration_since(Instant::now()).as_secs_f64();
         self.decide(|shedder, now| shedder.leave(now, left));
     }
@@ -465,6 +521,11 @@
         self.leaving.is_some()
     }
 
+    /// Told once, when the notice to leave comes.
+    pub fn left(&self) -> Rc<Notify> {
+        self.left.clone()
+    }
+
     pub fn in_hand(&self) -> usize {
         self.hand.len()
     }
@@ -480,20 +541,26 @@
         let Some(shedder) = &mut self.shedder else { return };
         match catch_unwind(AssertUnwindSafe(|| tell(shedder, now))) {
             Ok(decided) => self.carry_out(decided),
-            Err(_) => self.start_over(),
+            Err(_) => {
+                error!("the module panicked");
+                self.start_over(0.0);
+            }
         }
     }
 
-    /// The module has panicked: what it had in hand is answered at once, and it starts afresh.
-    fn start_over(&mut self) {
-        error!("the module panicked with {} in hand and starts over", self.hand.len());
+    /// What the module had in hand is lost to it: all is answered at once, and it starts afresh.
+    fn start_over(&mut self, up: f64) {
+        error!("starts over with {} in hand", self.hand.len());
         self.shedder = None;
         self.alarms.clear();
         for inv in self.hand.all() {
-            self.answer(inv, Answer::Errored);
+            if self.hand.get(inv).is_some_and(|one| !one.begun) {
+                self.answer(inv, Answer::Throttled { away: 0.0, last: false });
+            }
             self.release(inv);
         }
-        self.start(0.0);
+        self.commands.clear();
+        self.start(up);
     }
 
     /// Carries out what was decided, in the order in which the interface lists it.
@@ -539,6 +606,7 @@
 
     fn begin(&mut self, inv: usize) {
         let Some(one) = self.hand.get(inv) else { return };
+        one.begun = true;
         let (id, operation, body) = (one.id, self.names[one.operation].clone(), one.body.clone());
         self.counters.runs += 1;
         self.commands.push((Command::Run { id, operation, body }, one.heard));
--- a/crates/merlinshelf-backend/src/exchange/outbox.rs
+++ b/crates/merlinshelf-backend/src/exchange/outbox.rs
@@ -27,6 +27,14 @@
         self.waiting.pop_front()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+    }
+
     /// Wakes the side without a message, to look at the exchange anew.
     pub fn nudge(&self) {
         self.wake.notify_one();
--- a/crates/merlinshelf-backend/src/logger.rs
+++ b/crates/merlinshelf-backend/src/logger.rs
@@ -17,8 +17,6 @@
 struct Logger {
     lines: SyncSender<String>,
     lost: AtomicU64,
-    written: &'static AtomicU64,
-    sent: &'static AtomicU64,
 }
 
 static WRITTEN: AtomicU64 = AtomicU64::new(0);
@@ -28,10 +26,11 @@
 pub fn start() {
     let level = std::env::var("MERLINSHELF_LOG").ok().and_then(|name| name.parse().ok());
     let (lines, waiting) = sync_channel(WAITING_MOST);
-    let logger = Logger { lines, lost: AtomicU64::new(0), written: &WRITTEN, sent: &SENT };
+    let logger = Logger { lines, lost: AtomicU64::new(0) };
     let writer = thread::Builder::new().name("logger".into()).spawn(move || write(&waiting));
     if writer.is_ok() && log::set_boxed_logger(Box::new(logger)).is_ok() {
         log::set_max_level(level.unwrap_or(LevelFilter::Info));
+        std::panic::set_hook(Box::new(|panic| log::error!("panic: {panic}")));
     }
 }
 
@@ -66,7 +65,7 @@
         let place = record.target().rsplit("::").next().unwrap_or("");
         let line = format!("{seconds}.{millis:03} {} {place}: {}{gap}\n", record.level(), record.args());
         match self.lines.try_send(line) {
-            Ok(()) => _ = self.sent.fetch_add(1, Ordering::AcqRel),
+            Ok(()) => _ = SENT.fetch_add(1, Ordering::AcqRel),
             Err(_) => _ = self.lost.fetch_add(lost + 1, Ordering::Relaxed),
         }
     }
--- a/crates/merlinshelf-backend/src/main.rs
+++ b/crates/merlinshelf-backend/src/main.rs
@@ -20,6 +20,7 @@
 use tokio::runtime::Builder;
 use tokio::select;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -46,12 +47,12 @@
     let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG names no configuration")?;
     let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
     let config = Config::read(&text).map_err(|reason| format!("{path}: {reason}"))?;
-    let exchange = Exchange::new(config.settings.clone(), config.seed)?;
+    let exchange = Exchange::new(config.settings.clone(), config.seed, config.memory_mb)?;
     logger::start();
     let runtime = Builder::new_current_thread().enable_all().build().map_err(|error| error.to_string())?;
     let exchange = Rc::new(RefCell::new(exchange));
     let result = LocalSet::new().block_on(&runtime, run(config, exchange.clone()));
-    info!("at the end: {}", exchange.borrow().counters);
+    info!("counters at the end: {} {}", exchange.borrow().counters, counters::usage());
     logger::finish();
     result.map_err(|error| error.to_string())
 }
@@ -62,7 +63,11 @@
     let usr1 = signal(SignalKind::user_defined1())?;
     let listener: TcpListener = server::listen(config.listen)?;
     info!("{} listens on {}", config.name, config.listen);
-    let accepting = spawn_local(server::accept(listener, exchange.clone(), config.sockets));
+    let close = Rc::new(Notify::new());
+    let accepting = {
+        let (exchange, close) = (exchange.clone(), close.clone());
+        spawn_local(async move { server::accept(listener, exchange, config.sockets, &close).await })
+    };
     spawn_local(clock(exchange.clone()));
     spawn_local(print_counters(usr1, exchange.clone()));
     spawn_local(client::engine::hold(config.engine, exchange.clone()));
@@ -79,9 +84,10 @@
     info!("notice to leave: {} in hand, {} ms left", exchange.borrow().in_hand(), config.stop.as_millis());
     exchange.borrow_mut().leave(before(ANSWER_BEFORE));
     sleep_until(before(REFUSE_BEFORE)).await;
-    accepting.abort();
+    close.notify_one();
     exchange.borrow_mut().close();
     let closed = async {
+        let _ = accepting.await;
         while exchange.borrow().doors_open() > 0 {
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
@@ -109,6 +115,6 @@
 
 async fn print_counters(mut usr1: Signal, exchange: Shared) {
     while usr1.recv().await.is_some() {
-        info!("counters: {}", exchange.borrow().counters);
+        info!("counters: {} {}", exchange.borrow().counters, counters::usage());
     }
 }
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -20,8 +20,8 @@
 
 /// Invocations that may be open on one connection: the page's number.
 const OPEN_MOST: usize = 32;
-/// With more than this unsent nothing more is read: more than all open ones' answers together.
-const UNSENT_MOST: usize = 256 * 1024;
+/// With more than this unsent nothing more is read or taken: a dozen of the largest answers.
+const UNSENT_MOST: usize = 64 * 1024;
 
 pub struct Connection {
     socket: TcpStream,
@@ -36,10 +36,12 @@
     idle_since: Instant,
     /// Nothing more is read; what was read is still answered.
     read_closed: bool,
+    /// How many connections there may be, for edge nodes that ask.
+    connections_most: usize,
 }
 
 impl Connection {
-    pub fn new(socket: TcpStream, exchange: &Shared) -> Connection {
+    pub fn new(socket: TcpStream, exchange: &Shared, connections_most: usize) -> Connection {
         Connection {
             socket,
             exchange: exchange.clone(),
@@ -51,6 +53,7 @@
             open: HashMap::new(),
             idle_since: Instant::now(),
             read_closed: false,
+            connections_most,
         }
     }
 
@@ -99,6 +102,10 @@
         self.open.is_empty() && self.assembly.len() == 0 && self.going.is_empty()
     }
 
+    fn has_room(&self) -> bool {
+        self.open.len() + self.assembly.len() < OPEN_MOST && self.exchange.borrow().has_room()
+    }
+
     fn is_stale(&self) -> bool {
         Instant::now() >= self.idle_since + self.exchange.borrow().trim_after()
     }
@@ -156,7 +163,7 @@
             Piece::Begin { id, responder: false, .. } => {
                 fastcgi::end(&mut self.going, id, Status::UnknownRole);
             }
-            Piece::Begin { id, .. } if self.open.len() + self.assembly.len() >= OPEN_MOST => {
+            Piece::Begin { id, .. } if !self.has_room() => {
                 self.exchange.borrow_mut().counters.too_many += 1;
                 fastcgi::end(&mut self.going, id, Status::Overloaded);
             }
@@ -169,7 +176,7 @@
             }
             Piece::Abort { id } => self.abort(id),
             Piece::GetValues { names } => {
-                let most = self.exchange.borrow().doors_open().max(1);
+                let most = self.connections_most;
                 let known = [
                     ("FCGI_MAX_CONNS", most.to_string()),
                     ("FCGI_MAX_REQS", (most * OPEN_MOST).to_string()),
--- a/crates/merlinshelf-backend/src/server/fields.rs
+++ b/crates/merlinshelf-backend/src/server/fields.rs
@@ -45,6 +45,9 @@
         if self.need("REQUEST_METHOD")? != b"POST" {
             return Err(Bad::new(405, "REQUEST_METHOD is not POST"));
         }
+        if self.number("CONTENT_LENGTH")?.is_some_and(|length: usize| length != body.len()) {
+            return Err(Bad::new(400, "CONTENT_LENGTH is not the body's"));
+        }
         let operation = exchange.operation(class);
         let operation =
             operation.ok_or_else(|| Bad::new(404, format!("no such operation: {}", class.escape_ascii())))?;
--- a/crates/merlinshelf-backend/src/server/mod.rs
+++ b/crates/merlinshelf-backend/src/server/mod.rs
@@ -4,16 +4,18 @@
 mod connection;
 mod fields;
 
-use std::cell::Cell;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use log::warn;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::{pin, select};
 
 use crate::exchange::Shared;
 use connection::Connection;
@@ -32,32 +34,56 @@
     socket.listen(BACKLOG)
 }
 
-/// Takes in connections until it is dropped. With all descriptors in use those that wait stay unaccepted,
-/// and the ones in use are asked to close when idle.
-pub async fn accept(listener: TcpListener, exchange: Shared, sockets: usize) {
+/// Takes in connections until it is told to close; those that stand by then are taken in first, since an
+/// edge node may have written to them already. With a full table those that wait stay unaccepted, and idle
+/// ones make room.
+pub async fn accept(listener: TcpListener, exchange: Shared, sockets: usize, close: &Notify) {
     let most = sockets.saturating_sub(KEPT_BACK).max(sockets / 2).max(1);
-    let full = Rc::new(Cell::new(false));
+    let closed = close.notified();
+    pin!(closed);
+    let mut failing = false;
     loop {
-        let open = exchange.borrow().doors_open();
-        if open >= most {
-            if !full.replace(true) {
-                warn!("all {most} connections are in use; more wait unaccepted");
-            }
+        let full = exchange.borrow().doors_open() >= most;
+        if full && !failing {
+            warn!("all {most} connections are in use; more wait unaccepted");
+        }
+        exchange.borrow_mut().set_crowded(full || failing);
+        if full || failing {
             sleep(PAUSE).await;
+        }
+        if full {
+            failing = true;
             continue;
         }
-        full.set(false);
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let _ = socket.set_nodelay(true);
-                let connection = Connection::new(socket, &exchange);
-                spawn_local(connection.serve());
-            }
-            Err(error) => {
-                exchange.borrow_mut().counters.refused_connections += 1;
-                warn!("no connection accepted: {error}");
-                sleep(PAUSE).await;
-            }
+        select! {
+            biased;
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    failing = false;
+                    begin(socket, &exchange, most);
+                }
+                Err(error) => {
+                    if !failing {
+                        warn!("no connection accepted: {error}");
+                    }
+                    failing = true;
+                    exchange.borrow_mut().counters.refused_connections += 1;
+                }
+            },
+            () = &mut closed => break,
         }
     }
+    while let Some(Ok((socket, _))) = poll_fn(|context| match listener.poll_accept(context) {
+        Poll::Ready(accepted) => Poll::Ready(Some(accepted)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+    {
+        begin(socket, &exchange, most);
+    }
+}
+
+fn begin(socket: TcpStream, exchange: &Shared, most: usize) {
+    let _ = socket.set_nodelay(true);
+    spawn_local(Connection::new(socket, exchange, most).serve());
 }
--- a/crates/merlinshelf-protocol/src/catalogue.rs
+++ b/crates/merlinshelf-protocol/src/catalogue.rs
@@ -4,7 +4,9 @@
 use winnow::combinator::{alt, preceded, terminated};
 use winnow::{ModalResult, Parser};
 
-use crate::{BODY_MOST, Buffer, Bytes, CallId, Fault, LINE_MOST, body, call_id, front, line, put, within};
+use crate::{
+    BODY_MOST, Buffer, Bytes, CallId, Fault, Front, LINE_MOST, body, call_id, front, line, put, within,
+};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply<'a> {
@@ -20,7 +22,7 @@
 }
 
 /// Reads one reply off the front: whose it is and what it says, and its length.
-pub fn reply(input: &[u8]) -> Result<Option<((CallId, Reply<'_>), usize)>, Fault> {
+pub fn reply(input: &[u8]) -> Front<(CallId, Reply<'_>)> {
     front(input, LINE_MOST + BODY_MOST, Fault("unreadable reply"), whole)
 }
 
--- a/crates/merlinshelf-protocol/src/engine.rs
+++ b/crates/merlinshelf-protocol/src/engine.rs
@@ -6,7 +6,9 @@
 use winnow::token::{rest, take_while};
 use winnow::{ModalResult, Parser};
 
-use crate::{BODY_MOST, Buffer, Bytes, CallId, Fault, LINE_MOST, body, call_id, front, line, put, within};
+use crate::{
+    BODY_MOST, Buffer, Bytes, CallId, Fault, Front, LINE_MOST, body, call_id, front, line, put, within,
+};
 
 /// How a run has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +43,7 @@
 }
 
 /// Reads one notice off the front: the notice and its length, or nothing until more has come.
-pub fn notice(input: &[u8]) -> Result<Option<(Notice<'_>, usize)>, Fault> {
+pub fn notice(input: &[u8]) -> Front<Notice<'_>> {
     front(input, LINE_MOST + BODY_MOST, Fault("unreadable notice"), whole)
 }
 
--- a/crates/merlinshelf-protocol/src/fastcgi.rs
+++ b/crates/merlinshelf-protocol/src/fastcgi.rs
@@ -144,13 +144,16 @@
     u8.map(usize::from).parse_next(input)
 }
 
-fn pair<'i>(input: &mut &'i [u8]) -> ModalResult<(&'i [u8], &'i [u8])> {
+/// A name and its value.
+pub type Pair<'a> = (&'a [u8], &'a [u8]);
+
+fn pair<'i>(input: &mut &'i [u8]) -> ModalResult<Pair<'i>> {
     let (name, value) = (length, length).parse_next(input)?;
     (take(name), take(value)).parse_next(input)
 }
 
 /// The name-value pairs of a whole stream.
-pub fn pairs(bytes: &[u8]) -> Result<Vec<(&[u8], &[u8])>, Fault> {
+pub fn pairs(bytes: &[u8]) -> Result<Vec<Pair<'_>>, Fault> {
     repeat(0.., pair).parse(bytes).map_err(|_| Fault("name-value pairs that do not fit"))
 }
 
--- a/crates/merlinshelf-protocol/src/lib.rs
+++ b/crates/merlinshelf-protocol/src/lib.rs
@@ -65,15 +65,17 @@
 const LINE_MOST: usize = 1024;
 const BODY_MOST: usize = 64 * 1024;
 
+/// One message off the front of what has come, and its length; nothing until more has come.
+pub type Front<T> = Result<Option<(T, usize)>, Fault>;
+
 type Bytes<'i> = Partial<&'i [u8]>;
 
-/// Reads one message off the front of what has come: the message and its length, or nothing yet.
 fn front<'i, T>(
     input: &'i [u8],
     most: usize,
     fault: Fault,
     mut parser: impl Parser<Bytes<'i>, T, ErrMode<ContextError>>,
-) -> Result<Option<(T, usize)>, Fault> {
+) -> Front<T> {
     let mut rest = Partial::new(input);
     let start = rest.checkpoint();
     match parser.parse_next(&mut rest) {
--- a/crates/merlinshelf-protocol/src/members.rs
+++ b/crates/merlinshelf-protocol/src/members.rs
@@ -5,7 +5,7 @@
 use winnow::token::{rest, take, take_until, take_while};
 use winnow::{ModalResult, Parser};
 
-use crate::{BODY_MOST, Buffer, Bytes, Fault, LINE_MOST, front, line, put, within};
+use crate::{BODY_MOST, Buffer, Bytes, Fault, Front, LINE_MOST, front, line, put, within};
 
 /// More header lines than this are no answer of this service.
 const HEADERS_MOST: usize = 64;
@@ -28,7 +28,7 @@
 }
 
 /// Reads one answer off the front, its body passed over.
-pub fn answer(input: &[u8]) -> Result<Option<(Answer, usize)>, Fault> {
+pub fn answer(input: &[u8]) -> Front<Answer> {
     front(input, HEADERS_MOST * LINE_MOST + BODY_MOST, Fault("unreadable answer"), whole)
 }
 
