--- a/crates/merlinshelf-backend/src/config.rs
+++ b/crates/merlinshelf-backend/src/config.rs
@@ -107,3 +107,37 @@
         value => value.to_string(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const EXAMPLE: &str = include_str!("../../../examples/config.json");
+
+    #[test]
+    fn settings_read_as_in_the_benchs_first_message() {
+        let config = Config::read(EXAMPLE).expect("the example can be read");
+        assert_eq!((config.seed, config.stop), (0x8c1f_30d2_7a5b_e964, Duration::from_millis(3200)));
+        let lines: Vec<String> =
+            config.settings.iter().map(|(name, value)| format!("{name}={value}")).collect();
+        insta::assert_snapshot!(lines.join("\n"));
+    }
+
+    #[test]
+    fn what_is_missing_or_garbled_is_named() {
+        let changes = [
+            ("{", "["),
+            ("\"listen\": \"127.0.0.1:6565\"", "\"listen\": \"nowhere\""),
+            ("\"engine\"", "\"motor\""),
+            ("\"members\": \"127.0.0.1:8761\"", "\"members\": 8761"),
+            ("8c1f30d27a5be964", "8c1f30d27a5be96x"),
+            ("\"stop_ms\": 3200", "\"stop_ms\": -1"),
+            ("\"memory_mb\": 192", "\"memory_mb\": \"192\""),
+            ("\"sockets\"", "\"plugs\""),
+            ("\"name\": \"n0\"", "\"name\": \"a b\""),
+            ("\"settings\"", "\"set\""),
+        ];
+        let read = changes.map(|(from, to)| Config::read(&EXAMPLE.replacen(from, to, 1)).err());
+        insta::assert_snapshot!(format!("{read:#?}"));
+    }
+}
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -6,6 +6,8 @@
 mod doors;
 mod hand;
 mod outbox;
+#[cfg(test)]
+mod tests;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -378,8 +380,8 @@
     /// The gauges, in the order of the settings.
     pub fn gauges(&mut self, values: &[f64]) {
         self.counters.stats += 1;
-        let values = values.iter().copied().filter(|value| value.is_finite());
-        self.gauges = Some((Instant::now(), self.meters.iter().cloned().zip(values).collect()));
+        let named = self.meters.iter().cloned().zip(values.iter().copied());
+        self.gauges = Some((Instant::now(), named.filter(|(_, value)| value.is_finite()).collect()));
     }
 
     /// The engine did not carry out a command.
@@ -501,14 +503,19 @@
             match alarm {
                 Alarm::Call(id, number) => self.call_timed_out(id, number),
                 Alarm::Wake(handle) => {
-                    let fresh = self.gauges.take().filter(|(at, _)| at.elapsed() < GAUGES_AGE);
-                    let gauges = fresh.map(|(_, gauges)| gauges).unwrap_or_default();
+                    let gauges = self.fresh_gauges();
                     self.decide(|shedder, now| shedder.woken(now, handle, &gauges));
                 }
             }
         }
     }
 
+    /// Each answer of the engine is passed on once, and none that is old.
+    fn fresh_gauges(&mut self) -> BTreeMap<String, f64> {
+        let fresh = self.gauges.take().filter(|(at, _)| at.elapsed() < GAUGES_AGE);
+        fresh.map(|(_, gauges)| gauges).unwrap_or_default()
+    }
+
     /// The notice to leave: by `stop` the process has to be gone.
     pub fn leave(&mut self, stop: Instant) {
         self.leaving = Some(stop);
--- /dev/null
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -0,0 +1,266 @@
+//! The exchange between two sides played by hand, on a clock that only the tests move.
+
+use std::fmt::Write as _;
+
+use insta::assert_snapshot;
+use tokio::time::advance;
+
+use super::*;
+use crate::config::Config;
+
+const EXAMPLE: &str = include_str!("../../../../examples/config.json");
+
+/// The exchange with one door, and a trace of all that it gives out.
+struct Play {
+    shared: Shared,
+    door: Door,
+    trace: String,
+}
+
+fn id(number: u16) -> CallId {
+    CallId::read(format!("{number:016x}").as_bytes()).expect("an id")
+}
+
+fn arrival(number: u16, operation: usize) -> Arrival {
+    Arrival {
+        id: id(number),
+        operation,
+        body: Rc::from(*b"body"),
+        caller: 4,
+        stamp_ms: unix_ms() + 1000.0, // so that no real time that passes in a test makes it older
+        patience_ms: Some(2000.0),
+        again: false,
+        held_kb: 20.0,
+        rank: 0.5,
+        has_subject: false,
+    }
+}
+
+impl Play {
+    fn start() -> Play {
+        let config = Config::read(EXAMPLE).expect("the example can be read");
+        let exchange = Exchange::new(config.settings, config.seed, 192).expect("settings that are read");
+        let shared = Rc::new(RefCell::new(exchange));
+        let door = Door::open(&shared);
+        let mut play = Play { shared, door, trace: String::new() };
+        play.tell("HELLO", |exchange| exchange.engine_up(true, 0.0, false));
+        play
+    }
+
+    /// Tells the exchange something and notes what comes of it.
+    fn tell(&mut self, what: &str, tell: impl FnOnce(&mut Exchange)) {
+        tell(&mut self.shared.borrow_mut());
+        let _ = writeln!(self.trace, "{what}");
+        while let Some((tag, answer)) = self.door.next_answer() {
+            let _ = match answer {
+                Answer::Succeeded(result) => writeln!(self.trace, "    {tag} <- {}", result.escape_ascii()),
+                Answer::Throttled { away, last } => {
+                    writeln!(self.trace, "    {tag} <- throttled, away {:.3}, last {last}", away.abs())
+                }
+                Answer::Errored => writeln!(self.trace, "    {tag} <- errored"),
+            };
+        }
+        let exchange = &mut *self.shared.borrow_mut();
+        while let Some((command, _)) = exchange.next_command() {
+            let _ = match command {
+                Command::Run { id, operation, body } => {
+                    writeln!(self.trace, "    run {id} {operation} {}", body.escape_ascii())
+                }
+                Command::Feed { id, reply } => writeln!(self.trace, "    feed {id} {}", reply.escape_ascii()),
+                Command::Skip { id, need } => writeln!(self.trace, "    skip {id} {need}"),
+            };
+        }
+        for lane in 0..LANES {
+            while let Some(order) = exchange.next_order(lane) {
+                let _ = match order {
+                    Order::Invoke { id, wait, body } => {
+                        writeln!(self.trace, "    lane {lane}: {id} {wait:.2} s {}", body.escape_ascii())
+                    }
+                    Order::Cancel { id } => writeln!(self.trace, "    lane {lane}: cancel {id}"),
+                };
+            }
+        }
+    }
+
+    fn arrives(&mut self, number: u16, operation: usize) {
+        let reply = Reply { door: self.door.number(), tag: number };
+        self.tell(&format!("arrives {number}"), |exchange| {
+            assert!(exchange.arrived(reply, arrival(number, operation)));
+        });
+    }
+
+    async fn wait(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            advance(Duration::from_millis(10)).await;
+            self.shared.borrow_mut().ring_alarms();
+        }
+        self.tell(&format!("{millis} ms pass"), |_| {});
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_invocation_goes_through_with_its_call() {
+    let mut play = Play::start();
+    play.arrives(1, 0);
+    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, b"call"));
+    play.tell("ok", |exchange| exchange.call_ended(id(1), 1, Called::Succeeded(Rc::from(*b"reply"))));
+    play.tell("DONE OK", |exchange| exchange.ended(id(1), End::Succeeded, 0.1, b"\0result"));
+    play.tell("DONE again", |exchange| exchange.ended(id(1), End::Succeeded, 0.1, b"other"));
+    play.arrives(2, 1);
+    play.tell("DONE ERROR", |exchange| exchange.ended(id(2), End::Errored, 0.1, b""));
+    play.arrives(3, 1);
+    play.tell("NO RUN", |exchange| exchange.command_refused(b"RUN", id(3)));
+    assert_eq!(play.shared.borrow().in_hand(), 0);
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_timed_out_is_given_up_and_its_late_reply_dropped() {
+    let mut play = Play::start();
+    play.arrives(1, 2);
+    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, b"call"));
+    play.wait(800).await;
+    let late = Called::Succeeded(Rc::from(*b"late"));
+    play.tell("late reply", |exchange| exchange.call_ended(id(1), 1, late));
+    play.tell("NEED 2", |exchange| exchange.wants_call(id(1), 2, b"next call"));
+    let late = Called::Succeeded(Rc::from(*b"late"));
+    play.tell("late reply", |exchange| exchange.call_ended(id(1), 1, late));
+    assert_eq!(play.shared.borrow().counters.late_replies, 2);
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_given_up_before_it_was_sent_is_not_sent() {
+    let play = Play::start();
+    let reply = Reply { door: play.door.number(), tag: 1 };
+    let mut exchange = play.shared.borrow_mut();
+    exchange.arrived(reply, arrival(1, 0));
+    exchange.wants_call(id(1), 1, b"call");
+    assert!(exchange.has_orders(1));
+    exchange.ended(id(1), End::Stopped, 0.1, b"");
+    assert_eq!(exchange.next_order(1), Some(Order::Cancel { id: id(1) }));
+    assert_eq!(exchange.next_order(1), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_commands_are_given_again_only_where_that_is_safe() {
+    let mut play = Play::start();
+    play.arrives(1, 1);
+    let run = Command::Run { id: id(1), operation: "transcript-search".into(), body: Rc::from(*b"body") };
+    play.tell("RUN lost", |exchange| exchange.command_lost(run.clone(), 0));
+    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, b"call"));
+    play.tell("RUN lost before", |exchange| exchange.command_lost(run, 0));
+    play.tell("ok", |exchange| exchange.call_ended(id(1), 1, Called::Succeeded(Rc::from(*b"reply"))));
+    let feed = Command::Feed { id: id(1), reply: Rc::from(*b"reply") };
+    play.tell("FEED lost", |exchange| exchange.command_lost(feed, 1));
+    let skip = Command::Skip { id: id(1), need: 1 };
+    play.tell("SKIP lost", |exchange| exchange.command_lost(skip.clone(), 1));
+    play.tell("DONE OK", |exchange| exchange.ended(id(1), End::Succeeded, 0.1, b"result"));
+    play.tell("SKIP lost after the end", |exchange| exchange.command_lost(skip, 1));
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_engine_leaves_nothing_unanswered() {
+    let mut play = Play::start();
+    (1..=6).for_each(|number| play.arrives(number, 1));
+    play.tell("another HELLO", |exchange| exchange.engine_up(false, 0.1, true));
+    assert_eq!(play.shared.borrow().in_hand(), 0);
+    play.arrives(7, 1);
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_panic_of_the_module_leaves_nothing_unanswered() {
+    let mut play = Play::start();
+    play.arrives(1, 1);
+    play.tell("panic", |exchange| exchange.decide(|_, _| panic!("a fault of the module")));
+    play.arrives(2, 1);
+    play.tell("DONE OK", |exchange| exchange.ended(id(2), End::Succeeded, 0.1, b"result"));
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_is_answered_by_its_due_time_without_the_engine() {
+    let mut play = Play::start();
+    (1..=6).for_each(|number| play.arrives(number, 1));
+    play.wait(2000).await;
+    let exchange = play.shared.borrow();
+    let counters = &exchange.counters;
+    assert_eq!(counters.succeeded + counters.throttled + counters.errored, 6);
+    drop(exchange);
+    // The engine says so later; nothing is answered twice.
+    play.tell("DONE OK", |exchange| exchange.ended(id(1), End::Succeeded, 3.0, b"result"));
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_leaves_answers_all_and_runs_nothing_from_after_the_grace() {
+    let mut play = Play::start();
+    play.arrives(1, 1);
+    let stop = Instant::now() + Duration::from_millis(3000);
+    play.tell("notice", |exchange| exchange.leave(stop));
+    play.wait(1900).await;
+    play.arrives(2, 1);
+    play.wait(200).await;
+    play.arrives(3, 1);
+    play.wait(900).await;
+    assert!(!play.shared.borrow().healthy());
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_comes_before_the_engine_or_too_late_is_throttled_at_once() {
+    let config = Config::read(EXAMPLE).expect("the example can be read");
+    let exchange = Exchange::new(config.settings, config.seed, 192).expect("settings that are read");
+    let shared = Rc::new(RefCell::new(exchange));
+    let mut play = Play { door: Door::open(&shared), shared, trace: String::new() };
+    play.arrives(1, 0);
+    play.tell("HELLO", |exchange| exchange.engine_up(false, 0.0, false));
+    let reply = Reply { door: play.door.number(), tag: 2 };
+    let late = Arrival { stamp_ms: unix_ms() - 2000.0, ..arrival(2, 0) };
+    play.tell("arrives too late", |exchange| assert!(exchange.arrived(reply, late)));
+    play.arrives(3, 0);
+    let again = Reply { door: play.door.number(), tag: 4 };
+    play.tell("the same id", |exchange| assert!(!exchange.arrived(again, arrival(3, 0))));
+    assert_snapshot!(play.trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_door_that_closes_takes_its_invocations_with_it() {
+    let mut play = Play::start();
+    (1..=6).for_each(|number| play.arrives(number, 1));
+    let held = play.shared.borrow().in_hand();
+    play.door = Door::open(&play.shared); // the first is dropped
+    let exchange = play.shared.borrow();
+    assert_eq!((held, exchange.counters.unheard), (6, 6));
+    // Those that run stay in hand until they end; nobody is answered any more.
+    assert_eq!((exchange.in_hand(), exchange.doors_open()), (exchange.counters.runs as usize, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn gauges_are_passed_on_once_and_never_old() {
+    let play = Play::start();
+    let gauges = |values: &[f64]| play.shared.borrow_mut().gauges(values);
+    let told = || format!("{:?}", play.shared.borrow_mut().fresh_gauges());
+    gauges(&[0.5, f64::NAN, 0.25, 7.0]);
+    assert_eq!(told(), r#"{"cpu_busy": 0.5, "mem_used": 0.25, "sockets": 7.0}"#);
+    assert_eq!(told(), "{}", "passed on twice");
+    gauges(&[0.5]);
+    advance(GAUGES_AGE).await;
+    assert_eq!(told(), "{}", "passed on though old");
+}
+
+#[test]
+fn a_wall_clock_that_is_stepped_makes_no_odd_times() {
+    let one = Arrival { stamp_ms: 1_000_000.0, ..arrival(1, 0) };
+    let at = |unix_ms: f64| {
+        let told = told(&one, unix_ms);
+        (told.age, told.budget)
+    };
+    assert_eq!(at(1_000_500.0), (0.5, Some(1.5)));
+    assert_eq!(at(1_002_000.0), (2.0, Some(0.0)), "used up, which is not none");
+    assert_eq!(at(900_000.0), (0.0, Some(2.0)), "stepped back");
+    assert_eq!(at(9_000_000.0), (2.0, Some(0.0)), "stepped forward");
+    assert_eq!(told(&Arrival { patience_ms: None, ..one.clone() }, 1_000_500.0).budget, None);
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -0,0 +1,594 @@
+//! The program itself between stand-ins of all that it talks to, on loopback sockets and in real time.
+
+use std::fmt::Write as _;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use insta::assert_snapshot;
+
+const EXAMPLE: &str = include_str!("../../../examples/config.json");
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// One stream of any of the peers, read by the line or by the byte.
+struct Peer {
+    stream: TcpStream,
+    come: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(millis(20))).expect("a time-out");
+        Peer { stream, come: Vec::new() }
+    }
+
+    fn accept(listener: &TcpListener) -> Peer {
+        let until = Instant::now() + PATIENCE;
+        listener.set_nonblocking(true).expect("a mode");
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("a mode");
+                    return Peer::new(stream);
+                }
+                Err(_) if Instant::now() < until => sleep(millis(2)),
+                Err(error) => panic!("nobody came: {error}"),
+            }
+        }
+    }
+
+    fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).expect("a far end that reads");
+    }
+
+    /// More bytes; false at the end of the stream.
+    fn fill(&mut self, until: Instant) -> bool {
+        let mut gulp = [0; 65536];
+        loop {
+            match self.stream.read(&mut gulp) {
+                Ok(0) => return false,
+                Ok(count) => {
+                    self.come.extend(&gulp[..count]);
+                    return true;
+                }
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    assert!(Instant::now() < until, "nothing more came after {:?}", self.text());
+                }
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => return false,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    }
+
+    fn text(&self) -> String {
+        self.come.escape_ascii().to_string()
+    }
+
+    fn take(&mut self, count: usize) -> Option<Vec<u8>> {
+        let until = Instant::now() + PATIENCE;
+        while self.come.len() < count {
+            if !self.fill(until) {
+                return None;
+            }
+        }
+        Some(self.come.drain(..count).collect())
+    }
+
+    fn line(&mut self) -> Option<String> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(end) = self.come.windows(2).position(|two| two == b"\r\n") {
+                let line = self.take(end + 2)?;
+                return Some(String::from_utf8_lossy(&line[..end]).into_owned());
+            }
+            if !self.fill(until) {
+                return None;
+            }
+        }
+    }
+
+    /// As engine or catalogue: the next message with its body, questions for gauges answered on the way;
+    /// nothing at the end of the link.
+    fn message(&mut self) -> String {
+        loop {
+            let line = self.line().unwrap_or_default();
+            let words: Vec<&str> = line.split(' ').collect();
+            match words[..] {
+                ["STAT", tag] => self.send(format!("STATS {tag} 0.5 1 0.1 3\r\n")),
+                ["RUN" | "FEED" | "invoke", .., length] => {
+                    let length: usize = length.parse().expect("a length");
+                    let body = self.take(length + 2).expect("a body");
+                    return format!("{line} {}", body[..length].escape_ascii());
+                }
+                _ => return line,
+            }
+        }
+    }
+
+    /// Answers questions for gauges for a while; anything else is handed back.
+    fn idle(&mut self, time: Duration) -> Vec<String> {
+        let (until, mut seen) = (Instant::now() + time, Vec::new());
+        while Instant::now() < until {
+            self.stream.set_read_timeout(Some(millis(5))).expect("a time-out");
+            let mut peeked = [0; 1];
+            if self.stream.peek(&mut peeked).is_ok_and(|count| count > 0) || !self.come.is_empty() {
+                match self.line() {
+                    Some(line) if line.starts_with("STAT ") => {
+                        self.send(format!("STATS {} 0.5 1 0.1 3\r\n", &line[5..]));
+                    }
+                    line => seen.extend(line),
+                }
+            }
+        }
+        seen
+    }
+
+    /// As edge node: the next answer, as its tag, its head without what never differs, and its body.
+    fn answer(&mut self) -> String {
+        let mut out = Vec::new();
+        loop {
+            let Some(head) = self.take(8) else { return "closed".into() };
+            let (length, padding) = (u16::from_be_bytes([head[4], head[5]]), head[6]);
+            let content = self.take(usize::from(length) + usize::from(padding)).expect("a whole record");
+            let (content, tag) = (&content[..length.into()], u16::from_be_bytes([head[2], head[3]]));
+            match head[1] {
+                6 => out.extend(content),
+                3 if content[4] == 0 => {
+                    let text = out.escape_ascii().to_string().replace("\\r\\n", "|");
+                    let text = text.replace("|Content-Type: application/octet-stream|", "|");
+                    return format!("{tag} {}", text.replace("Status: ", ""));
+                }
+                3 => return format!("{tag} ended with status {}", content[4]),
+                kind => return format!("record {kind} {}", content.escape_ascii()),
+            }
+        }
+    }
+}
+
+/// The program and the addresses of its stand-ins.
+struct Rig {
+    child: Child,
+    address: String,
+    config: PathBuf,
+    engine: TcpListener,
+    catalogue: TcpListener,
+    members: TcpListener,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn bind() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    (listener, address)
+}
+
+fn program(config: &PathBuf, descriptors: usize) -> Child {
+    let start = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_merlinshelf"));
+    let mut command = Command::new("/bin/sh");
+    let command = command.args(["-c", &start]).env("PROXY_CONFIG", config);
+    command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("a shell")
+}
+
+/// Writes the example's configuration with some texts replaced.
+fn configuration(changes: &[(&str, &str)]) -> PathBuf {
+    let text = changes.iter().fold(EXAMPLE.to_owned(), |text, (from, to)| text.replace(from, to));
+    let unique = format!("{}-{:?}", std::process::id(), std::thread::current().id());
+    let path = std::env::temp_dir().join(format!("merlinshelf-{}.json", unique.replace(['(', ')'], "")));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+impl Rig {
+    fn start(descriptors: usize, changes: &[(&str, &str)]) -> Rig {
+        let ((engine, at_engine), (catalogue, at_catalogue)) = (bind(), bind());
+        let ((members, at_members), (own, address)) = (bind(), bind());
+        drop(own);
+        let addresses = [
+            ("127.0.0.1:9300", at_engine.as_str()),
+            ("127.0.0.1:5432", &at_catalogue),
+            ("127.0.0.1:8761", &at_members),
+            ("127.0.0.1:6565", &address),
+        ];
+        let config = configuration(&[&addresses, changes].concat());
+        Rig { child: program(&config, descriptors), address, config, engine, catalogue, members }
+    }
+
+    /// Takes the engine's link and says how it is.
+    fn engine(&self) -> Peer {
+        let mut engine = Peer::accept(&self.engine);
+        assert_eq!(engine.message(), "ATTACH 0");
+        engine.send("HELLO WARM 5000\r\n");
+        engine.idle(millis(50));
+        engine
+    }
+
+    fn edge(&self) -> Peer {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match TcpStream::connect(&self.address) {
+                Ok(stream) => return Peer::new(stream),
+                Err(_) if Instant::now() < until => sleep(millis(5)),
+                Err(error) => panic!("the program does not listen: {error}"),
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        assert!(sent.is_ok_and(|status| status.success()));
+    }
+
+    /// Waits for the program's own end and hands out what it logged.
+    fn end(&mut self) -> (ExitStatus, String) {
+        let until = Instant::now() + PATIENCE;
+        while self.child.try_wait().expect("a child").is_none() {
+            assert!(Instant::now() < until, "the program does not end");
+            sleep(millis(5));
+        }
+        let mut log = String::new();
+        self.child.stderr.take().expect("a pipe").read_to_string(&mut log).expect("text");
+        (self.child.wait().expect("a child"), log)
+    }
+}
+
+fn record(kind: u8, tag: u16, content: &[u8], padding: u8) -> Vec<u8> {
+    let ([high, low], length) = (tag.to_be_bytes(), (content.len() as u16).to_be_bytes());
+    [&[1, kind, high, low, length[0], length[1], padding, 0], content, &vec![0; padding.into()]].concat()
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis()
+}
+
+/// One invocation as an edge node writes it, with some fields changed; an empty one is left out.
+fn ask(tag: u16, class: &str, body: &[u8], changes: &[(&str, &str)]) -> Vec<u8> {
+    let path = format!("/svc/{class}");
+    let (id, now) = (format!("{tag:016x}"), unix_ms().to_string());
+    let mut fields = vec![
+        ("REQUEST_METHOD", "POST"),
+        ("SCRIPT_NAME", path.as_str()),
+        ("HTTP_X_CALL_ID", id.as_str()),
+        ("HTTP_X_QUEUE_START", now.as_str()),
+        ("HTTP_X_SOURCE", "4"),
+        ("HTTP_X_PATIENCE_MS", "4000"),
+        ("HTTP_X_HEAP_KB", "24.5"),
+        ("HTTP_X_IMPORTANCE", "0.6250"),
+    ];
+    for (name, value) in changes {
+        fields.retain(|(known, _)| known != name);
+        fields.push((name, value));
+    }
+    let mut params = Vec::new();
+    for (name, value) in fields.iter().filter(|(_, value)| !value.is_empty()) {
+        params.push(name.len() as u8);
+        params.extend((value.len() as u32 | 0x8000_0000).to_be_bytes());
+        params.extend(name.as_bytes());
+        params.extend(value.as_bytes());
+    }
+    let (first, second) = params.split_at(params.len() / 3);
+    let mut bytes = record(1, tag, &[0, 1, 1, 0, 0, 0, 0, 0], 0);
+    for part in [first, second, b""] {
+        bytes.extend(record(4, tag, part, 3));
+    }
+    for part in body.chunks(600).filter(|part| !part.is_empty()) {
+        bytes.extend(record(5, tag, part, 1));
+    }
+    bytes.extend(record(5, tag, b"", 0));
+    bytes
+}
+
+fn id(tag: u16) -> String {
+    format!("{tag:016x}")
+}
+
+#[test]
+fn interleaved_invocations_are_answered_in_any_order_and_unchanged() {
+    let rig = Rig::start(1024, &[]);
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    let mut trace = String::new();
+    // The second comes byte by byte, the first is answered after it.
+    edge.send(ask(1, "transcript-search", b"\0\xff\r\n", &[]));
+    let _ = writeln!(trace, "{}", engine.message());
+    for byte in ask(2, "transcript-search", b"", &[("HTTP_X_REPEAT", "1"), ("HTTP_X_ENTITY", "7f")]) {
+        edge.send([byte]);
+        edge.stream.flush().expect("a stream");
+    }
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.send(format!("DONE 1 {} OK 12 6\r\n\r\n\0é\n\r\n", id(2)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    engine.send(format!("NOTE 2 still here\r\nDONE 3 {} ERROR 12 0\r\n\r\n", id(1)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    let check = ask(3, "", b"", &[("SCRIPT_NAME", "/status/live"), ("REQUEST_METHOD", "GET")]);
+    edge.send(check);
+    let _ = writeln!(trace, "{}", edge.answer());
+    // One whose time is used up is turned away at once and told when to come back.
+    let stamp = (unix_ms() - 4001).to_string();
+    edge.send(ask(4, "thumbnail", b"", &[("HTTP_X_QUEUE_START", &stamp), ("HTTP_X_REPEAT", "1")]));
+    let _ = writeln!(trace, "{}", edge.answer());
+    assert_snapshot!(trace);
+}
+
+#[test]
+fn what_is_bad_touches_nothing_else() {
+    let rig = Rig::start(1024, &[]);
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    let mut trace = String::new();
+    edge.send(ask(1, "transcript-search", b"good", &[]));
+    let _ = writeln!(trace, "{}", engine.message());
+    let long = [b'x'; 2049];
+    for bytes in [
+        ask(2, "transcript-search", b"", &[("HTTP_X_CALL_ID", "")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_CALL_ID", "9b1f")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_QUEUE_START", "soon")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_HEAP_KB", "nan")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_IMPORTANCE", "1")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_SOURCE", "-1")]),
+        ask(2, "transcript-search", b"abc", &[("CONTENT_LENGTH", "4")]),
+        ask(2, "transcript-search", b"", &[("REQUEST_METHOD", "PUT")]),
+        ask(2, "transcript-search", b"", &[("HTTP_X_CALL_ID", &id(1))]),
+        ask(2, "transcript-search", b"", &[("X", &"y".repeat(5000))]),
+        ask(2, "transcript-search", &long, &[]),
+        ask(2, "thumbnails", b"", &[]),
+        ask(2, "", b"", &[("SCRIPT_NAME", "/")]),
+        [record(1, 2, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(5, 2, b"", 0)].concat(),
+        [record(1, 2, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 2, b"\x05\x05a", 0)].concat(),
+        [record(4, 2, b"", 0), record(5, 2, b"", 0)].concat(),
+        record(1, 2, &[0, 2, 1, 0, 0, 0, 0, 0], 0),
+        record(33, 0, b"odd", 0),
+        record(9, 0, b"\x0f\0FCGI_MPXS_CONNS\x0d\0FCGI_MAX_REQS", 0),
+        [ask(2, "transcript-search", b"", &[]), record(2, 2, b"", 0)].concat(),
+    ] {
+        edge.send(&bytes);
+        if !matches!(bytes[bytes.len() - 8..], [1, 4, ..]) && !bytes.ends_with(b"\x05\x05a") {
+            let _ = writeln!(trace, "{}", edge.answer());
+        }
+    }
+    // No FastCGI ends this connection alone, and only once all that was read on it is answered.
+    let mut other = rig.edge();
+    edge.send("GET / HTTP/1.1\r\n\r\n");
+    engine.send(format!("DONE 1 {} OK 12 4\r\nfine\r\n", id(1)));
+    let _ = writeln!(trace, "{}\n{}", edge.answer(), edge.answer());
+    other.send(ask(9, "transcript-search", b"good", &[]));
+    while !engine.message().starts_with("RUN 0000000000000009") {}
+    engine.send(format!("DONE 2 {} OK 12 4\r\nfine\r\n", id(9)));
+    let _ = writeln!(trace, "{}", other.answer());
+    assert_snapshot!(trace);
+}
+
+#[test]
+fn more_than_32_on_one_connection_are_turned_away() {
+    let rig = Rig::start(1024, &[]);
+    let (_engine, mut edge) = (rig.engine(), rig.edge());
+    // Begun only, so that nothing of them is decided.
+    let begun: Vec<u8> = (1..=33).flat_map(|tag| record(1, tag, &[0, 1, 1, 0, 0, 0, 0, 0], 0)).collect();
+    edge.send(begun);
+    assert_eq!(edge.answer(), "33 ended with status 2");
+}
+
+#[test]
+fn a_broken_engine_link_is_taken_up_again() {
+    let rig = Rig::start(1024, &[]);
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    edge.send(ask(1, "transcript-search", b"first", &[]));
+    let mut trace = engine.message() + "\n";
+    engine.send(format!("NOTE 1 hello\r\nDONE 2 {} OK 12 3\r\none\r\n", id(1)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    // The link breaks on a line that can't be read; what comes meanwhile waits, a lost run is given again.
+    edge.send(ask(2, "transcript-search", b"second", &[]));
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.send("WHAT\r\n");
+    let mut engine = Peer::accept(&rig.engine);
+    let _ = writeln!(trace, "{}", engine.message());
+    edge.send(ask(3, "transcript-search", b"third", &[]));
+    sleep(millis(30));
+    engine.send("HELLO WARM 6000\r\n");
+    engine.send(format!("DONE 2 {} OK 12 3\r\nbad\r\n", id(1)));
+    let mut runs = [engine.message(), engine.message()];
+    runs.sort();
+    let _ = writeln!(trace, "{}", runs.join("\n"));
+    engine.send(format!("DONE 3 {} OK 12 3\r\ntwo\r\n", id(2)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    engine.send(format!("DONE 4 {} OK 12 5\r\nthree\r\n", id(3)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    assert_snapshot!(trace);
+}
+
+#[test]
+fn calls_below_are_made_and_their_ends_told_apart() {
+    let mut rig = Rig::start(1024, &[]);
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    let mut trace = String::new();
+    edge.send(ask(1, "thumbnail", b"", &[]));
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.send(format!("NEED 1 {} 3\r\na\0b\r\n", id(1)));
+    let mut below = Peer::accept(&rig.catalogue);
+    let called = below.message();
+    let _ = writeln!(trace, "{} ... {}", &called[..23], &called[called.len() - 8..]);
+    below.send(format!("{} ok 5\r\n\r\n\0\r\n\r\n", id(1)));
+    let _ = writeln!(trace, "{}", engine.message());
+    // A connection that breaks under a call proves nothing: the call may be made again, as all are idempotent.
+    engine.send(format!("NEED 2 {} 3\r\ntwo\r\n", id(1)));
+    let mut second = Peer::accept(&rig.catalogue);
+    let _ = writeln!(trace, "{}", &second.message()[..23]);
+    second.send("what is this\r\n");
+    let _ = writeln!(trace, "{:?}", second.line());
+    // A refused connection ends the next one at once: left out, or made again and refused again.
+    rig.catalogue = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.send(format!("DONE 3 {} OK 90 2\r\nok\r\n", id(1)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    assert_snapshot!(trace);
+}
+
+#[test]
+fn a_slow_reader_holds_up_nobody_and_loses_nothing() {
+    let rig = Rig::start(1024, &[("\"Cores\": 2", "\"Cores\": 40")]);
+    let (mut engine, mut slow, mut edge) = (rig.engine(), rig.edge(), rig.edge());
+    let result = "r".repeat(4096);
+    let answered = Arc::new(AtomicUsize::new(0));
+    let (count, whole) = (answered.clone(), result.clone());
+    std::thread::spawn(move || {
+        for number in 1.. {
+            let run = engine.message();
+            if run.is_empty() {
+                return;
+            }
+            engine.send(format!("DONE {number} {} OK 1 4096\r\n{whole}\r\n", &run[4..20]));
+            count.store(number, Ordering::SeqCst);
+        }
+    });
+    // 32 at a time, never read, until the program reads no more of them: all between is full then.
+    let mut sent = 0;
+    let stalled = |sent: usize| {
+        let until = Instant::now() + millis(500);
+        while answered.load(Ordering::SeqCst) < sent && Instant::now() < until {
+            sleep(millis(1));
+        }
+        answered.load(Ordering::SeqCst) < sent
+    };
+    while !stalled(sent) {
+        for _ in 0..32 {
+            sent += 1;
+            slow.send(ask(sent as u16, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "60000")]));
+        }
+        assert!(sent < 32 * 200, "it reads on and on");
+    }
+    let asked = Instant::now();
+    edge.send(ask(65535, "transcript-search", b"", &[]));
+    assert!(edge.answer().ends_with(&result));
+    assert!(asked.elapsed() < millis(500), "held up for {:?}", asked.elapsed());
+    // Each has its one answer, whole; a few were over the 32 that may be open.
+    let mut tags: Vec<String> = Vec::new();
+    for _ in 0..sent {
+        let answer = slow.answer();
+        assert!(answer.ends_with(&result) || answer.ends_with("ended with status 2"), "{answer:.200}");
+        tags.push(answer.split(' ').next().unwrap_or("").into());
+    }
+    tags.sort();
+    tags.dedup();
+    assert_eq!(tags.len(), sent);
+}
+
+#[test]
+fn a_full_table_of_descriptors_is_survived() {
+    let rig = Rig::start(64, &[("\"sockets\": 1024", "\"sockets\": 64")]);
+    let mut engine = rig.engine();
+    // More than may be open. Those that say nothing make room for those that wait.
+    let mut edges: Vec<Peer> = (0..80).map(|_| rig.edge()).collect();
+    for tag in [79, 40, 60] {
+        engine.idle(millis(50));
+        let check = ask(tag, "", b"", &[("SCRIPT_NAME", "/status/live")]);
+        let mut edge = edges.remove(tag.into());
+        if edge.stream.write_all(&check).is_ok() {
+            let answer = edge.answer();
+            assert!(answer == "closed" || answer.starts_with(&format!("{tag} 200")), "{answer}");
+        }
+    }
+    drop(edges);
+    let mut edge = rig.edge();
+    edge.send(ask(1, "transcript-search", b"", &[]));
+    engine.message();
+    engine.send(format!("DONE 1 {} OK 12 4\r\nfine\r\n", id(1)));
+    assert!(edge.answer().ends_with("fine"));
+}
+
+#[test]
+fn reports_go_out_and_sigterm_ends_it_with_all_answered() {
+    let mut rig =
+        Rig::start(1024, &[("3200", "900"), ("\"DrainGraceUs\": 2000000", "\"DrainGraceUs\": 200000")]);
+    let (mut engine, mut edge, mut quiet) = (rig.engine(), rig.edge(), rig.edge());
+    let mut trace = String::new();
+    let mut members = Peer::accept(&rig.members);
+    let until = Instant::now() + PATIENCE;
+    while !members.text().ends_with("}") {
+        assert!(members.fill(until));
+    }
+    let _ = writeln!(
+        trace,
+        "{}",
+        members.text().replace(&rig.members.local_addr().expect("one").to_string(), "M")
+    );
+    members.come.clear();
+    members.send("HTTP/1.1 204 No Content\r\n\r\n");
+    edge.send(ask(1, "transcript-search", b"", &[]));
+    let _ = writeln!(trace, "{}", engine.message());
+    rig.signal("USR1");
+    rig.signal("TERM");
+    let noticed = Instant::now();
+    while !members.text().ends_with("}") {
+        assert!(members.fill(until));
+    }
+    let _ = writeln!(trace, "{}", &members.text()[members.come.len() - 15..]);
+    assert!(noticed.elapsed() < millis(300), "told late: {:?}", noticed.elapsed());
+    edge.send(ask(2, "", b"", &[("SCRIPT_NAME", "/status/live")]));
+    let _ = writeln!(trace, "{}", edge.answer());
+    engine.idle(millis(400));
+    edge.send(ask(3, "transcript-search", b"", &[]));
+    let _ = writeln!(trace, "{}", edge.answer());
+    let _ = writeln!(trace, "{}\n{}\n{}", edge.answer(), edge.answer(), quiet.answer());
+    let (status, log) = rig.end();
+    assert!(noticed.elapsed() < millis(900), "ended after {:?}", noticed.elapsed());
+    let counts = log.lines().filter(|line| line.contains("counters"));
+    let counts = counts.map(|line| line.split("invocations=").nth(1).unwrap_or("").split(" checks").next());
+    let _ = writeln!(trace, "{status} {:?}", counts.collect::<Vec<_>>());
+    assert_snapshot!(trace);
+}
+
+#[test]
+fn peers_that_are_away_do_no_harm() {
+    let mut rig = Rig::start(1024, &[]);
+    rig.members = TcpListener::bind("127.0.0.1:0").expect("a port"); // the real one refuses from now on
+    let mut early = rig.edge();
+    early.send(ask(1, "", b"", &[("SCRIPT_NAME", "/status/live")]));
+    assert!(early.answer().contains("200 OK"));
+    early.send(ask(2, "transcript-search", b"", &[]));
+    assert!(early.answer().starts_with("2 503"), "nothing runs before the engine is up");
+    let mut engine = rig.engine();
+    early.send(ask(3, "transcript-search", b"", &[]));
+    assert!(engine.message().starts_with("RUN"));
+    drop(engine);
+    rig.engine = TcpListener::bind("127.0.0.1:0").expect("a port"); // and the engine's too
+    early.send(ask(4, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "300")]));
+    assert!(early.answer().starts_with("4 5"), "answered by its due time without a link");
+}
+
+#[test]
+fn a_bad_configuration_is_named_and_ends_it() {
+    let mut trace = String::new();
+    let texts: [(&str, &str); 5] = [
+        ("\"seed\"", "\"sead\""),
+        ("\"Cores\": 2", "\"Cores\": \"two\""),
+        ("\"Effect\": \"read_like\"", "\"Effect\": \"idempotency_key\""),
+        ("\"Classes\"", "\"Klasses\""),
+        ("}", ""),
+    ];
+    for change in texts {
+        let path = configuration(&[change]);
+        let ended = program(&path, 1024).wait_with_output().expect("an end");
+        let text = String::from_utf8_lossy(&ended.stderr).replace(&path.display().to_string(), "FILE");
+        let _ = write!(trace, "{} {text}", ended.status);
+        std::fs::remove_file(&path).expect("a file");
+    }
+    let missing = PathBuf::from("/nowhere/config.json");
+    let ended = program(&missing, 1024).wait_with_output().expect("an end");
+    let _ = write!(trace, "{} {}", ended.status, String::from_utf8_lossy(&ended.stderr));
+    assert_snapshot!(trace);
+}
--- a/crates/merlinshelf-protocol/src/engine.rs
+++ b/crates/merlinshelf-protocol/src/engine.rs
@@ -73,9 +73,13 @@
     terminated(parser, " ")
 }
 
+fn millis(input: &mut &[u8]) -> ModalResult<f64> {
+    float.verify(|time: &f64| time.is_finite() && *time >= 0.0).parse_next(input)
+}
+
 fn hello<'i>(input: &mut &'i [u8]) -> ModalResult<(Notice<'i>, Option<usize>)> {
     let state = alt(("WARM".value(true), "COLD".value(false)));
-    let (warm, up_ms) = preceded("HELLO ", (word(state), float)).parse_next(input)?;
+    let (warm, up_ms) = preceded("HELLO ", (word(state), millis)).parse_next(input)?;
     Ok((Notice::Hello { warm, up_ms }, None))
 }
 
@@ -86,7 +90,7 @@
         "STOPPED".value(End::Stopped),
         "MOOT".value(End::Moot),
     ));
-    let fields = (word(dec_uint), word(call_id), word(end), word(float), dec_uint);
+    let fields = (word(dec_uint), word(call_id), word(end), word(millis), dec_uint);
     let (number, id, end, took_ms, length) = preceded("DONE ", fields).parse_next(input)?;
     Ok((Notice::Done { number, id, end, took_ms, result: b"" }, Some(length)))
 }
--- /dev/null
+++ b/crates/merlinshelf-protocol/tests/wire.rs
@@ -0,0 +1,237 @@
+//! What parsers make of bytes, whole and in parts, and what encoders write.
+
+use insta::assert_snapshot;
+use merlinshelf_protocol::fastcgi::{self, Piece, Records};
+use merlinshelf_protocol::{CallId, Front, catalogue, engine, members};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+fn record(kind: u8, id: u8, content: &[u8], padding: u8) -> Vec<u8> {
+    let length = (content.len() as u16).to_be_bytes();
+    let head = [1, kind, 0, id, length[0], length[1], padding, 0];
+    [&head, content, &vec![7; padding.into()]].concat()
+}
+
+/// Two interleaved invocations among management records, oddities and padding.
+fn stream() -> Vec<u8> {
+    [
+        record(9, 0, b"\x0f\0FCGI_MPXS_CONNS\x03\0ANY", 3),
+        record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0),
+        record(4, 1, b"\x04\x02NA", 5),
+        record(1, 2, &[0, 3, 0, 0, 0, 0, 0, 0], 1),
+        record(4, 1, b"MEv1", 0),
+        record(77, 0, b"what", 4),
+        record(77, 1, b"passed over", 5),
+        record(4, 1, b"", 0),
+        record(5, 1, b"a\r\n\0b", 255),
+        record(2, 2, b"", 0),
+        record(5, 1, b"", 8),
+    ]
+    .concat()
+}
+
+/// What the stream brings when it comes in parts of at most that many bytes.
+fn pieces(bytes: &[u8], part: usize) -> Vec<String> {
+    let (mut records, mut seen) = (Records::default(), Vec::<String>::new());
+    let (mut from, mut come) = (0, 0);
+    while come < bytes.len() {
+        come = bytes.len().min(come + part);
+        loop {
+            match records.next(&bytes[from..come]) {
+                Ok((0, None)) => break,
+                Ok((used, None)) => from += used,
+                Ok((used, Some(piece))) => {
+                    from += used;
+                    // Contents may come in any parts: those of one stream are put together again.
+                    match (piece, seen.last_mut()) {
+                        (Piece::Params { bytes, .. } | Piece::Stdin { bytes, .. }, Some(last))
+                            if !bytes.is_empty() && last.ends_with('+') =>
+                        {
+                            last.insert_str(last.len() - 1, &bytes.escape_ascii().to_string());
+                        }
+                        (Piece::Params { id, bytes }, _) if !bytes.is_empty() => {
+                            seen.push(format!("params {id} {}+", bytes.escape_ascii()));
+                        }
+                        (Piece::Stdin { id, bytes }, _) if !bytes.is_empty() => {
+                            seen.push(format!("stdin {id} {}+", bytes.escape_ascii()));
+                        }
+                        (Piece::GetValues { names }, _) => seen.push(format!("values {}", names.len())),
+                        (piece, _) => seen.push(format!("{piece:?}")),
+                    }
+                }
+                Err(fault) => {
+                    seen.push(format!("fault: {fault}"));
+                    return seen;
+                }
+            }
+        }
+    }
+    seen
+}
+
+#[test]
+fn records_may_be_split_anywhere() {
+    let whole = pieces(&stream(), usize::MAX);
+    assert_snapshot!(whole.join("\n"));
+    for part in 1..stream().len() {
+        assert_eq!(pieces(&stream(), part), whole, "in parts of {part}");
+    }
+}
+
+#[test]
+fn what_is_no_fastcgi_is_a_fault() {
+    let long = record(9, 0, &[0; 2000], 0);
+    let trace =
+        [&b"GET / HTTP/1.1\r\n"[..], &record(1, 1, b"short", 0), &long].map(|bytes| pieces(bytes, 16));
+    assert_snapshot!(format!("{trace:#?}"));
+}
+
+#[test]
+fn names_and_values_have_short_and_long_lengths() {
+    let long = vec![b'x'; 300];
+    let bytes = [b"\x01\x80\x00\x01\x2cA".as_slice(), &long, b"\x80\x00\x00\x02\x00BB"].concat();
+    let pairs = fastcgi::pairs(&bytes).expect("pairs that fit");
+    assert_eq!(pairs, [(&b"A"[..], &long[..]), (b"BB", b"")]);
+    for cut in 1..bytes.len() {
+        let whole = cut == 306; // just behind the first pair
+        assert_eq!(fastcgi::pairs(&bytes[..cut]).is_ok(), whole, "cut at {cut}");
+    }
+    assert!(fastcgi::pairs(b"\xff\xff\xff\xff\xff\xff\xff\xff").is_err());
+}
+
+#[test]
+fn answers_keep_every_byte() {
+    let mut out = Vec::new();
+    fastcgi::answer(&mut out, 258, "Status: 200 OK\r\n\r\n", b"\0\xff\r\n");
+    fastcgi::end(&mut out, 3, fastcgi::Status::Overloaded);
+    fastcgi::unknown(&mut out, 77);
+    fastcgi::values(&mut out, b"\x01\0A\x01\0B", &[("B", "32".into())]).expect("names that fit");
+    assert_snapshot!(out.chunks(8).map(|row| format!("{}\n", row.escape_ascii())).collect::<String>());
+    // More than one record holds: cut, and all there.
+    let body: Vec<u8> = (0..70_000u32).map(|n| n as u8).collect();
+    let mut out = Vec::new();
+    fastcgi::answer(&mut out, 1, "", &body);
+    let first = usize::from(u16::from_be_bytes([out[4], out[5]]));
+    let second = usize::from(u16::from_be_bytes([out[first + 12], out[first + 13]]));
+    assert_eq!([&out[8..8 + first], &out[first + 16..first + 16 + second]].concat(), body);
+}
+
+/// Reads messages one after the other, and sees to it that no part of one passes for a whole.
+fn messages<T: std::fmt::Debug>(bytes: &[u8], read: impl Fn(&[u8]) -> Front<T>) -> String {
+    let (mut from, mut trace) = (0, String::new());
+    while from < bytes.len() {
+        match read(&bytes[from..]) {
+            Ok(Some((message, used))) => {
+                for cut in 0..used {
+                    assert!(
+                        matches!(read(&bytes[from..from + cut]), Ok(None)),
+                        "cut at {cut} of {message:?}"
+                    );
+                }
+                trace += &format!("{message:?}\n");
+                from += used;
+            }
+            Ok(None) => return trace + "more must come\n",
+            Err(fault) => return trace + &format!("fault: {fault}\n"),
+        }
+    }
+    trace
+}
+
+fn notices(bytes: &[u8]) -> String {
+    messages(bytes, |bytes| {
+        engine::notice(bytes).map(|read| read.map(|(notice, used)| (format!("{notice:?}"), used)))
+    })
+}
+
+#[test]
+fn the_engines_notices_are_read() {
+    let bytes = b"HELLO COLD 120\r\nDONE 1 9b1f03aa5c7e2d41 OK 88 6\r\na\r\nb\0c\r\nNEED 2 9b1f03aa5c7e2d42 0\r\n\r\n\
+        STATS 17 0.62 3 0.41 120\r\nNO RUN 9b1f03aa5c7e2d41\r\nNOTE 3 all is well\r\n\
+        DONE 4 9b1f03aa5c7e2d41 MOOT 0 0\r\n\r\nDONE 5 9b1f03aa5c7e2d41 STOPPED 0.5 0\r\n\r\nHELLO WA";
+    let mut trace = notices(bytes);
+    for bad in [
+        &b"DONE x 9b1f03aa5c7e2d41 OK 88 6\r\n"[..],
+        b"DONE 1 9b1f OK 88 0\r\n\r\n",
+        b"NEED 1 9b1f03aa5c7e2d41 99999999\r\n",
+        b"NEED 1 9b1f03aa5c7e2d41 2\r\nabcd",
+        b"\xff\xfe\r\n",
+        &[b'a'; 70_000],
+    ] {
+        trace += &notices(bad);
+    }
+    let refused = [&b"RUN 9b1f03aa5c7e2d41"[..], b"ODD", b"RUN 12"].map(engine::refused);
+    assert_snapshot!(format!("{trace}{refused:?}"));
+}
+
+#[test]
+fn replies_from_below_are_read() {
+    let id = "9b1f03aa5c7e2d41";
+    let bytes =
+        format!("{id} ok 4\r\n\r\n\r\n\r\n{id} overload\r\n{id} internal\r\n{id} deadline\r\n{id} stale\r\n");
+    let read = |bytes: &[u8]| {
+        catalogue::reply(bytes).map(|read| read.map(|(reply, used)| (format!("{reply:?}"), used)))
+    };
+    let bad = [format!("{id} maybe\r\n"), "x\r\n".into(), format!("{id} ok 2\r\nabc\r\n")];
+    let bad = bad.map(|bytes| messages(bytes.as_bytes(), read)).concat();
+    assert_snapshot!(messages(bytes.as_bytes(), read) + &bad);
+}
+
+#[test]
+fn commands_and_calls_are_written() {
+    let (mut out, id) = (Vec::new(), CallId::read(b"9b1f03aa5c7e2d41").expect("an id"));
+    engine::attach(&mut out, 7);
+    engine::run(&mut out, id, "thumbnail", b"\0\r\n");
+    engine::feed(&mut out, id, b"");
+    engine::skip(&mut out, id, 12);
+    engine::stat(&mut out, 3);
+    catalogue::invoke(&mut out, id, 250, b"body");
+    catalogue::cancel(&mut out, id);
+    members::report(&mut out, "127.0.0.1:8761", "n3", false);
+    assert_snapshot!(out.escape_ascii().to_string().replace("\\n", "\\n\n"));
+    let bad = [&b"9b1f03aa5c7e2d4"[..], b"9b1f03aa5c7e2d411", b"9b1f03aa5c7e2d4g"].map(CallId::read);
+    assert_eq!(bad, [None; 3]);
+}
+
+#[test]
+fn answers_of_the_membership_service_are_read() {
+    let bytes = b"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 Busy\r\ncontent-LENGTH: 3 \r\n\r\nnow\
+        HTTP/1.1 204 \r\nConnection: close\r\nX: y\r\n\r\nHTTP/1.0 200 OK\r\n\r\n\
+        HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/2 200\r\n";
+    assert_snapshot!(messages(bytes, members::answer));
+}
+
+/// Whole messages with bytes changed, cut out and put in: whatever comes, nothing panics or makes no end.
+#[test]
+fn no_bytes_make_a_parser_panic() {
+    let seeds = [
+        stream(),
+        b"DONE 1 9b1f03aa5c7e2d41 OK 88 6\r\na\r\nb\0c\r\nSTATS 1 0.5 1 2 3\r\nNEED 2 9b1f03aa5c7e2d41 0\r\n\r\n".to_vec(),
+        b"9b1f03aa5c7e2d41 ok 4\r\nabcd\r\n9b1f03aa5c7e2d41 stale\r\n".to_vec(),
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 3\r\n\r\nnow".to_vec(),
+    ];
+    let mut rng = Pcg32::seed_from_u64(5);
+    let mut faults = 0;
+    for _ in 0..5000 {
+        for seed in &seeds {
+            let mut bytes = seed.clone();
+            for _ in 0..rng.random_range(1..4) {
+                let place = rng.random_range(0..bytes.len());
+                match rng.random_range(0..3) {
+                    0 => bytes[place] = rng.random(),
+                    1 => bytes.truncate(place.max(1)),
+                    _ => bytes.insert(place, b"\r\n 9\xff\0"[rng.random_range(0..6)]),
+                }
+            }
+            faults += usize::from(pieces(&bytes, 64).iter().any(|line| line.starts_with("fault")));
+            let _ = fastcgi::pairs(&bytes);
+            let _ = engine::refused(&bytes);
+            faults += usize::from(notices_end(&bytes));
+        }
+    }
+    assert!(faults > 1000, "only {faults} were found unreadable");
+}
+
+fn notices_end(bytes: &[u8]) -> bool {
+    engine::notice(bytes).is_err() | catalogue::reply(bytes).is_err() | members::answer(bytes).is_err()
+}
