--- a/crates/merlinshelf-backend/src/client/catalogue.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
-use super::connect;
+use super::{connect, unreadable};
 use crate::exchange::{Called, Order, Shared};
 use crate::ring::{Flow, Ring};
 
@@ -129,23 +129,14 @@
 
     fn take_in(&mut self) -> io::Result<()> {
         let mut coming = std::mem::take(&mut self.coming);
-        let bytes = coming.whole();
-        let mut used = 0;
-        let result = loop {
-            match catalogue::reply(&bytes[used..]) {
-                Ok(None) => break Ok(()),
-                Ok(Some(((id, reply), count))) => {
-                    used += count;
-                    self.replied(id, reply);
-                }
-                Err(fault) => {
-                    let start = &bytes[used..bytes.len().min(used + 100)];
-                    warn!("{fault}: {}", start.escape_ascii());
-                    break Err(io::Error::new(io::ErrorKind::InvalidData, fault.0));
-                }
+        let result = coming.read(|bytes| match catalogue::reply(bytes) {
+            Ok(None) => Ok(0),
+            Ok(Some(((id, reply), count))) => {
+                self.replied(id, reply);
+                Ok(count)
             }
-        };
-        coming.consume(used);
+            Err(fault) => Err(unreadable(fault, bytes)),
+        });
         self.coming = coming;
         result
     }
--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -12,7 +12,7 @@
 use tokio::select;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::connect;
+use super::{connect, unreadable};
 use crate::exchange::{Command, Shared};
 use crate::ring::{Flow, Ring};
 
@@ -133,23 +133,14 @@
 
     fn take_in(&mut self, link: &mut Link) -> io::Result<()> {
         let mut coming = std::mem::take(&mut link.coming);
-        let bytes = coming.whole();
-        let mut used = 0;
-        let result = loop {
-            match engine::notice(&bytes[used..]) {
-                Ok(None) => break Ok(()),
-                Ok(Some((notice, count))) => {
-                    self.notice(link, &notice);
-                    used += count;
-                }
-                Err(fault) => {
-                    let start = &bytes[used..bytes.len().min(used + 100)];
-                    warn!("{fault}: {}", start.escape_ascii());
-                    break Err(io::Error::new(io::ErrorKind::InvalidData, fault.0));
-                }
+        let result = coming.read(|bytes| match engine::notice(bytes) {
+            Ok(None) => Ok(0),
+            Ok(Some((notice, count))) => {
+                self.notice(link, &notice);
+                Ok(count)
             }
-        };
-        coming.consume(used);
+            Err(fault) => Err(unreadable(fault, bytes)),
+        });
         link.coming = coming;
         result
     }
--- a/crates/merlinshelf-backend/src/client/members.rs
+++ b/crates/merlinshelf-backend/src/client/members.rs
@@ -10,7 +10,7 @@
 use tokio::select;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::connect;
+use super::{connect, unreadable};
 use crate::exchange::Shared;
 use crate::ring::{Flow, Ring};
 
@@ -79,11 +79,19 @@
         if coming.fill(&socket)? == Flow::Ended {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        let read = members::answer(coming.whole());
-        match read.map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault.0))? {
+        let mut answer = None;
+        coming.read(|bytes| match members::answer(bytes) {
+            Ok(None) => Ok(0),
+            Ok(Some((one, count))) => {
+                answer = Some(one);
+                Ok(count)
+            }
+            Err(fault) => Err(unreadable(fault, bytes)),
+        })?;
+        match answer {
             None => {}
-            Some((answer, _)) if answer.status == 204 => return Ok(answer.keep.then_some(socket)),
-            Some((answer, _)) => return Err(io::Error::other(format!("status {}", answer.status))),
+            Some(answer) if answer.status == 204 => return Ok(answer.keep.then_some(socket)),
+            Some(answer) => return Err(io::Error::other(format!("status {}", answer.status))),
         }
     }
 }
--- a/crates/merlinshelf-backend/src/client/mod.rs
+++ b/crates/merlinshelf-backend/src/client/mod.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use log::warn;
+use merlinshelf_protocol::Fault;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -19,3 +21,9 @@
     socket.set_nodelay(true)?;
     Ok(socket)
 }
+
+/// What a far end wrote is no message: the log says how it began, and the connection ends.
+fn unreadable(fault: Fault, bytes: &[u8]) -> io::Error {
+    warn!("{fault}: {}", bytes[..bytes.len().min(100)].escape_ascii());
+    io::Error::new(io::ErrorKind::InvalidData, fault.0)
+}
--- /dev/null
+++ b/crates/merlinshelf-backend/src/exchange/runs.rs
@@ -0,0 +1,155 @@
+//! The exchange towards the engine: commands out, notices in.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, info, warn};
+use merlinshelf::Outcome;
+use merlinshelf_protocol::CallId;
+use merlinshelf_protocol::engine::End;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::{Answer, Exchange};
+
+/// Gauges that are older than this say nothing about now.
+pub(super) const GAUGES_AGE: Duration = Duration::from_millis(100);
+
+/// What the engine is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    Run { id: CallId, operation: Rc<str>, body: Rc<[u8]> },
+    Feed { id: CallId, reply: Rc<[u8]> },
+    Skip { id: CallId, need: u64 },
+}
+
+impl Command {
+    fn id(&self) -> CallId {
+        match self {
+            Command::Run { id, .. } | Command::Feed { id, .. } | Command::Skip { id, .. } => *id,
+        }
+    }
+}
+
+impl Exchange {
+    pub fn commands_wake(&self) -> Rc<Notify> {
+        self.commands.wake()
+    }
+
+    /// The next command, and how much had been heard of its invocation when it was given.
+    pub fn next_command(&mut self) -> Option<(Command, u64)> {
+        self.commands.pop()
+    }
+
+    /// The engine has said HELLO: the module starts, cold or warm as the engine did. Starts it anew where the
+    /// engine has been started anew, whose runs are then all gone.
+    pub fn engine_up(&mut self, warm: bool, up: f64, anew: bool) {
+        if self.shedder.is_some() && !anew {
+            return;
+        }
+        let name = "FamilyInfo.FreshStart";
+        let fresh = if warm { "false" } else { "true" };
+        if self.settings.insert(name.into(), fresh.into()).is_some_and(|told| told != fresh) {
+            info!("the engine started {}, other than {name} says", if warm { "warm" } else { "cold" });
+        }
+        if anew {
+            return self.start_over(up);
+        }
+        self.start(up);
+    }
+
+    /// A run is over.
+    pub fn ended(&mut self, id: CallId, end: End, took: f64, result: &[u8]) {
+        self.counters.done += 1;
+        let Some(inv) = self.heard(id) else { return debug!("{id} is over, and not in hand") };
+        match end {
+            End::Succeeded => self.answer(inv, Answer::Succeeded(result.into())),
+            End::Errored => self.answer(inv, Answer::Errored),
+            End::Stopped | End::Moot => {}
+        }
+        let outcome = Outcome {
+            succeeded: end == End::Succeeded,
+            never_ran: end == End::Moot,
+            stopped: end == End::Stopped,
+        };
+        self.decide(|shedder, now| shedder.ended(now, inv, outcome, took));
+    }
+
+    /// A run waits for a call with this body.
+    pub fn wants_call(&mut self, id: CallId, number: u64, body: &[u8]) {
+        self.counters.needs += 1;
+        let Some(inv) = self.heard(id) else { return debug!("{id} wants a call, and is not in hand") };
+        self.drop_call(inv);
+        if let Some(one) = self.hand.get(inv) {
+            one.need = Some((number, body.into()));
+        }
+        self.decide(|shedder, now| shedder.wants_call(now, inv));
+    }
+
+    pub(super) fn heard(&mut self, id: CallId) -> Option<usize> {
+        let inv = self.hand.find(id)?;
+        self.hand.get(inv)?.heard += 1;
+        Some(inv)
+    }
+
+    /// The gauges, in the order of the settings.
+    pub fn gauges(&mut self, values: &[f64]) {
+        self.counters.stats += 1;
+        let named = self.meters.iter().cloned().zip(values.iter().copied());
+        self.gauges = Some((Instant::now(), named.filter(|(_, value)| value.is_finite()).collect()));
+    }
+
+    /// The engine did not carry out a command.
+    pub fn command_refused(&mut self, word: &[u8], id: CallId) {
+        self.counters.refused_commands += 1;
+        warn!("the engine refused {} {id}", word.escape_ascii());
+        if let (b"RUN", Some(inv)) = (word, self.hand.find(id)) {
+            self.answer(inv, Answer::Errored);
+            let outcome = Outcome { never_ran: true, ..Outcome::default() };
+            self.decide(|shedder, now| shedder.ended(now, inv, outcome, 0.0));
+        }
+    }
+
+    /// A command may have been lost with a link, and all notices since have been read. It is given again
+    /// where that can do no harm: a run that goes on is not started twice, and a skip names its notice. A
+    /// reply that was fed names neither, so the module is asked about that call once more.
+    pub fn command_lost(&mut self, command: Command, heard: u64) {
+        let Some(inv) = self.hand.find(command.id()) else { return };
+        let Some(one) = self.hand.get(inv) else { return };
+        if one.heard != heard {
+            return;
+        }
+        match command {
+            Command::Feed { .. } => {
+                let idempotent = self.settings.get(&format!("Classes.{}.Effect", one.operation));
+                if idempotent.is_some_and(|effect| effect == "read_like") {
+                    self.decide(|shedder, now| shedder.wants_call(now, inv));
+                }
+            }
+            command => self.commands.push((command, heard)),
+        }
+    }
+
+    /// Each answer of the engine is passed on once, and none that is old.
+    pub(super) fn fresh_gauges(&mut self) -> BTreeMap<String, f64> {
+        let fresh = self.gauges.take().filter(|(at, _)| at.elapsed() < GAUGES_AGE);
+        fresh.map(|(_, gauges)| gauges).unwrap_or_default()
+    }
+
+    pub(super) fn begin(&mut self, inv: usize) {
+        let Some(one) = self.hand.get(inv) else { return };
+        one.begun = true;
+        let (id, operation, body) = (one.id, self.names[one.operation].clone(), one.body.clone());
+        self.counters.runs += 1;
+        self.commands.push((Command::Run { id, operation, body }, one.heard));
+    }
+
+    pub(super) fn degrade(&mut self, inv: usize) {
+        let Some(one) = self.hand.get(inv) else { return };
+        let Some((need, _)) = one.need else { return };
+        let (id, heard) = (one.id, one.heard);
+        self.counters.skips += 1;
+        self.commands.push((Command::Skip { id, need }, heard));
+    }
+}
--- a/crates/merlinshelf-backend/src/exchange/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -3,8 +3,12 @@
 use std::fmt::Write as _;
 
 use insta::assert_snapshot;
+use merlinshelf_protocol::CallId;
+use merlinshelf_protocol::engine::End;
 use tokio::time::advance;
 
+use super::arrivals::told;
+use super::runs::GAUGES_AGE;
 use super::*;
 use crate::config::Config;
 
--- a/crates/merlinshelf-backend/src/main.rs
+++ b/crates/merlinshelf-backend/src/main.rs
@@ -15,14 +15,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::info;
+use log::{error, info, warn};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::select;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use config::Config;
 use exchange::{Exchange, LANES, Shared};
@@ -68,13 +68,17 @@
         let (exchange, close) = (exchange.clone(), close.clone());
         spawn_local(async move { server::accept(listener, exchange, config.sockets, &close).await })
     };
-    spawn_local(clock(exchange.clone()));
     spawn_local(print_counters(usr1, exchange.clone()));
-    spawn_local(client::engine::hold(config.engine, exchange.clone()));
+    let shared = exchange.clone();
+    keep("the clock", move || clock(shared.clone()));
+    let shared = exchange.clone();
+    keep("the engine's link", move || client::engine::hold(config.engine, shared.clone()));
     for lane in 0..LANES {
-        spawn_local(client::catalogue::serve(config.catalogue, exchange.clone(), lane));
+        let shared = exchange.clone();
+        keep("a lane", move || client::catalogue::serve(config.catalogue, shared.clone(), lane));
     }
-    spawn_local(client::members::report(config.members, config.name, exchange.clone()));
+    let (shared, name) = (exchange.clone(), config.name);
+    keep("reporting", move || client::members::report(config.members, name.clone(), shared.clone()));
     select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
@@ -89,16 +93,26 @@
     let closed = async {
         let _ = accepting.await;
         while exchange.borrow().doors_open() > 0 {
-            tokio::time::sleep(Duration::from_millis(2)).await;
+            sleep(Duration::from_millis(2)).await;
         }
     };
     if timeout_at(before(END_BEFORE), closed).await.is_err() {
         let open = exchange.borrow().doors_open();
-        log::warn!("ends with {} in hand and {open} connections open", exchange.borrow().in_hand());
+        warn!("ends with {} in hand and {open} connections open", exchange.borrow().in_hand());
     }
     Ok(())
 }
 
+/// Runs a part for as long as the program runs: a panic in it costs that part a fresh start, no more.
+fn keep<F: Future<Output = ()> + 'static>(what: &'static str, part: impl Fn() -> F + 'static) {
+    spawn_local(async move {
+        while let Err(error) = spawn_local(part()).await {
+            error!("{what} starts afresh: {error}");
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
 /// Rings the exchange's alarms; nothing else is waited for.
 async fn clock(exchange: Shared) {
     let alarmed = exchange.borrow().alarmed();
--- a/crates/merlinshelf-backend/src/ring.rs
+++ b/crates/merlinshelf-backend/src/ring.rs
@@ -34,9 +34,18 @@
         self.bytes.is_empty()
     }
 
-    /// All that is in it, in one piece.
-    pub fn whole(&mut self) -> &[u8] {
-        self.bytes.make_contiguous()
+    /// Hands out what is in it, from the front on, until nothing more of it is used up.
+    pub fn read<E>(&mut self, mut next: impl FnMut(&[u8]) -> Result<usize, E>) -> Result<(), E> {
+        let (bytes, mut used) = (self.bytes.make_contiguous(), 0);
+        let result = loop {
+            match next(&bytes[used..]) {
+                Ok(0) => break Ok(()),
+                Ok(count) => used += count,
+                Err(error) => break Err(error),
+            }
+        };
+        self.consume(used);
+        result
     }
 
     pub fn consume(&mut self, count: usize) {
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -136,21 +136,11 @@
 
     fn take_in(&mut self) -> Result<(), Fault> {
         let mut coming = std::mem::take(&mut self.coming);
-        let mut used = 0;
-        let bytes = coming.whole();
-        let result = loop {
-            match self.records.next(&bytes[used..]) {
-                Ok((0, None)) => break Ok(()),
-                Ok((count, piece)) => {
-                    used += count;
-                    if let Some(Err(fault)) = piece.map(|piece| self.piece(piece)) {
-                        break Err(fault);
-                    }
-                }
-                Err(fault) => break Err(fault),
-            }
-        };
-        coming.consume(used);
+        let result = coming.read(|bytes| {
+            let (count, piece) = self.records.next(bytes)?;
+            piece.map_or(Ok(()), |piece| self.piece(piece))?;
+            Ok(count)
+        });
         self.coming = coming;
         result
     }
--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -487,6 +487,26 @@
     assert_eq!(tags.len(), sent);
 }
 
+#[test]
+fn a_pause_of_the_process_is_survived() {
+    let rig = Rig::start(1024, &[]);
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    edge.send(ask(1, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "300")]));
+    assert!(engine.message().starts_with("RUN"));
+    rig.signal("STOP");
+    edge.send(ask(2, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "300")]));
+    sleep(millis(500));
+    edge.send(ask(3, "transcript-search", b"", &[]));
+    rig.signal("CONT");
+    // Late ones at once, the other as if nothing had been.
+    let mut ends = [edge.answer(), edge.answer()];
+    ends.sort();
+    assert!(ends[0].starts_with("1 500") && ends[1].starts_with("2 503"), "{ends:?}");
+    while engine.message() != format!("RUN {} transcript-search 0 ", id(3)) {}
+    engine.send(format!("DONE 1 {} OK 700 4\r\nlate\r\nDONE 2 {} OK 12 4\r\nfine\r\n", id(1), id(3)));
+    assert!(edge.answer().ends_with("3 200 OK||fine"));
+}
+
 #[test]
 fn a_full_table_of_descriptors_is_survived() {
     let rig = Rig::start(64, &[("\"sockets\": 1024", "\"sockets\": 64")]);
