--- a/crates/merlinshelf-backend/src/exchange/arrivals.rs
+++ b/crates/merlinshelf-backend/src/exchange/arrivals.rs
@@ -1,5 +1,6 @@
 //! The exchange towards the server side: doors, arrivals, and what connections ask of it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,6 +39,23 @@
     Errored,
 }
 
+/// What an invocation holds while it is being read: dropping it gives the place back.
+#[derive(Debug)]
+pub struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(taken: &Rc<Cell<usize>>) -> Place {
+        taken.set(taken.get() + 1);
+        Place(taken.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Exchange {
     pub(super) fn open_door(&mut self) -> (usize, Rc<Notify>) {
         self.counters.connections += 1;
@@ -51,13 +69,7 @@
         for inv in self.hand.behind(number) {
             self.gone(inv);
         }
-        while let Some(outbox) = self.doors.outbox(number) {
-            match outbox.pop() {
-                Some(_) => self.counters.unheard += 1,
-                None => break,
-            }
-        }
-        self.doors.close(number);
+        self.counters.unheard += self.doors.close(number) as u64;
     }
 
     pub(super) fn gone(&mut self, inv: usize) {
@@ -101,9 +113,10 @@
         }
     }
 
-    /// Whether one more invocation can be taken in hand.
-    pub fn has_room(&self) -> bool {
-        self.hand.len() < self.hand_most
+    /// A place for one more invocation to be read, if there is one beside all that are read or in hand.
+    pub fn take_place(&self) -> Option<Place> {
+        let taken = self.hand.len() + self.reading.get();
+        (taken < self.hand_most).then(|| Place::take(&self.reading))
     }
 
     /// From now on connections with nothing open are closed.
--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -25,22 +25,27 @@
         }
         if let Some(stop) = self.leaving {
             let left = stop.saturating_duration_since(Instant::now()).as_secs_f64();
-            self.decide(|shedder, now| shedder.leave(now, left));
+            if !self.attempt(|shedder, now| shedder.leave(now, left)) {
+                self.shedder = None; // and everything is throttled until the end
+            }
         }
     }
 
+    /// Tells the module something and carries out what it decides.
     pub(super) fn decide(&mut self, tell: impl FnOnce(&mut Shedder, f64) -> Decided) {
-        let now = self.seconds();
-        let Some(shedder) = &mut self.shedder else { return };
-        match catch_unwind(AssertUnwindSafe(|| tell(shedder, now))) {
-            Ok(decided) => self.carry_out(decided),
-            Err(_) => {
-                error!("the module panicked");
-                self.start_over(0.0);
-            }
+        if !self.attempt(tell) {
+            self.start_over(0.0);
         }
     }
 
+    /// False if the module panicked.
+    fn attempt(&mut self, tell: impl FnOnce(&mut Shedder, f64) -> Decided) -> bool {
+        let now = self.seconds();
+        let Some(shedder) = &mut self.shedder else { return true };
+        let decided = catch_unwind(AssertUnwindSafe(|| tell(shedder, now)));
+        decided.map(|decided| self.carry_out(decided)).is_ok()
+    }
+
     /// What the module had in hand is lost to it: all is answered at once, and it starts afresh.
     pub(super) fn start_over(&mut self, up: f64) {
         error!("starts over with {} in hand", self.hand.len());
--- a/crates/merlinshelf-backend/src/exchange/doors.rs
+++ b/crates/merlinshelf-backend/src/exchange/doors.rs
@@ -56,9 +56,10 @@
         (number, outbox.wake())
     }
 
-    pub fn close(&mut self, number: usize) {
-        self.places[number] = None;
+    /// Says how many answers were left in it.
+    pub fn close(&mut self, number: usize) -> usize {
         self.free.push(number);
+        self.places[number].take().map_or(0, |outbox| outbox.len())
     }
 
     pub fn outbox(&mut self, number: usize) -> Option<&mut Outbox<(u16, Answer)>> {
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -24,7 +24,7 @@
 
 use crate::counters::Counters;
 use alarms::{Alarm, Alarms};
-pub use arrivals::{Answer, Arrival};
+pub use arrivals::{Answer, Arrival, Place};
 pub use calls::{Called, LANES, Order};
 pub use doors::Door;
 use doors::Doors;
@@ -35,7 +35,7 @@
 
 pub type Shared = Rc<RefCell<Exchange>>;
 
-/// Of the memory told, a quarter is for invocations in hand at 20 KB each: a body, a result and a call's two
+/// Of the memory told, a quarter is for invocations read or in hand at 20 KB each: a body, a result and a call's two
 /// by the page's sizes, and as much again. Far more than the module ever holds: it bounds what a broken peer can do.
 const HAND_KB: usize = 4 * 20;
 
@@ -62,6 +62,8 @@
     trim_after: Duration,
     crowded: bool,
     closing: bool,
+    /// How many invocations are being read on all connections, and how many they and those in hand may be.
+    reading: Rc<Cell<usize>>,
     hand_most: usize,
     pub counters: Counters,
 }
@@ -112,6 +114,7 @@
             healthy: true,
             crowded: false,
             closing: false,
+            reading: Rc::default(),
             hand_most: (memory_mb as usize * 1024 / HAND_KB).max(1),
             counters: Counters::default(),
         })
--- a/crates/merlinshelf-backend/src/exchange/outbox.rs
+++ b/crates/merlinshelf-backend/src/exchange/outbox.rs
@@ -27,6 +27,10 @@
         self.waiting.pop_front()
     }
 
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
--- a/crates/merlinshelf-backend/src/exchange/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -255,6 +255,18 @@
     assert_eq!(told(), "{}", "passed on though old");
 }
 
+#[tokio::test(start_paused = true)]
+async fn there_are_no_more_places_than_memory_has() {
+    let mut play = Play::start();
+    let most = play.shared.borrow().hand_most;
+    let places: Vec<_> = std::iter::from_fn(|| play.shared.borrow().take_place()).collect();
+    assert_eq!((places.len(), most), (most, 192 * 1024 / 80));
+    drop(places);
+    (1..=6).for_each(|number| play.arrives(number, 1));
+    let places = std::iter::from_fn(|| play.shared.borrow().take_place()).collect::<Vec<_>>();
+    assert_eq!(places.len(), most - 6, "those in hand take places too");
+}
+
 #[test]
 fn a_wall_clock_that_is_stepped_makes_no_odd_times() {
     let one = Arrival { stamp_ms: 1_000_000.0, ..arrival(1, 0) };
--- a/crates/merlinshelf-backend/src/server/assembly.rs
+++ b/crates/merlinshelf-backend/src/server/assembly.rs
@@ -3,13 +3,15 @@
 use std::collections::HashMap;
 
 use super::fields::Bad;
+use crate::exchange::Place;
 
 /// The page's limit on bodies, and room for twice the fields that an edge node sends.
 const BODY_MOST: usize = 2 * 1024;
 const PARAMS_MOST: usize = 4 * 1024;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Partial {
+    _place: Place,
     pub keep: bool,
     pub params: Vec<u8>,
     params_done: bool,
@@ -22,8 +24,9 @@
 pub struct Assembly(HashMap<u16, Partial>);
 
 impl Assembly {
-    pub fn begin(&mut self, id: u16, keep: bool) {
-        self.0.insert(id, Partial { keep, ..Partial::default() });
+    pub fn begin(&mut self, id: u16, keep: bool, place: Place) {
+        let (params, body) = Default::default();
+        self.0.insert(id, Partial { _place: place, keep, params, params_done: false, body, bad: None });
     }
 
     pub fn holds(&self, id: u16) -> bool {
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -15,7 +15,7 @@
 
 use super::assembly::{Assembly, Partial};
 use super::fields::{Asked, Bad, Fields};
-use crate::exchange::{Answer, Door, Reply, Shared};
+use crate::exchange::{Answer, Door, Place, Reply, Shared};
 use crate::ring::{Flow, Ring};
 
 /// Invocations that may be open on one connection: the page's number.
@@ -102,8 +102,10 @@
         self.open.is_empty() && self.assembly.len() == 0 && self.going.is_empty()
     }
 
-    fn has_room(&self) -> bool {
-        self.open.len() + self.assembly.len() < OPEN_MOST && self.exchange.borrow().has_room()
+    /// Room for one more, on this connection and among all.
+    fn place(&self) -> Option<Place> {
+        let open = self.open.len() + self.assembly.len();
+        (open < OPEN_MOST).then(|| self.exchange.borrow().take_place()).flatten()
     }
 
     fn is_stale(&self) -> bool {
@@ -153,11 +155,13 @@
             Piece::Begin { id, responder: false, .. } => {
                 fastcgi::end(&mut self.going, id, Status::UnknownRole);
             }
-            Piece::Begin { id, .. } if !self.has_room() => {
-                self.exchange.borrow_mut().counters.too_many += 1;
-                fastcgi::end(&mut self.going, id, Status::Overloaded);
-            }
-            Piece::Begin { id, keep, .. } => self.assembly.begin(id, keep),
+            Piece::Begin { id, keep, .. } => match self.place() {
+                Some(place) => self.assembly.begin(id, keep, place),
+                None => {
+                    self.exchange.borrow_mut().counters.too_many += 1;
+                    fastcgi::end(&mut self.going, id, Status::Overloaded);
+                }
+            },
             Piece::Params { id, bytes } => self.assembly.params(id, bytes),
             Piece::Stdin { id, bytes } => {
                 if let Some(partial) = self.assembly.body(id, bytes) {
