Replace a link that stays silent after a later ATTACH; name an address that is taken

Read out of the code: a reconnected link whose HELLO never came would have been waited for without end (client/engine: attach), and an invocation without KEEP_CONN cut off others that were half read (server/connection: write).

--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -20,7 +20,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Between two questions for the gauges: the module looks at them as often.
 const ASK_EVERY: Duration = Duration::from_millis(10);
-/// A link on which a question stays unanswered for so long is dead and is replaced.
+/// A link on which a question or a later ATTACH stays unanswered for so long is dead and is replaced.
 const SILENT_MOST: Duration = Duration::from_secs(3);
 /// Two words on when the engine was started that lie no further apart mean the same start.
 const SAME_START: Duration = Duration::from_secs(1);
@@ -72,8 +72,9 @@
         self.exchange.borrow_mut().counters.engine_links += 1;
         let now = Instant::now();
         let (coming, going) = (Ring::default(), Ring::default());
-        let mut link =
-            Link { socket, coming, going, hello: false, caught_up: false, asked: None, ask_at: now };
+        // The first HELLO waits for the engine to be up; any later one is a question's answer like another.
+        let asked = self.born.map(|_| now);
+        let mut link = Link { socket, coming, going, hello: false, caught_up: false, asked, ask_at: now };
         engine::attach(&mut link.going, self.last);
         match self.run(&mut link).await {
             Err(error) => error,
@@ -92,7 +93,7 @@
                 biased;
                 ready = link.socket.ready(interest) => { ready?; }
                 () = wake.notified() => {}
-                () = sleep_until(next), if link.hello => {}
+                () = sleep_until(next), if link.hello || link.asked.is_some() => {}
             }
             if link.coming.fill(&link.socket)? == Flow::Ended {
                 return Ok(());
@@ -157,7 +158,7 @@
         match *notice {
             Notice::Hello { warm, up_ms } => {
                 info!("the engine is up, {} for {up_ms} ms", if warm { "warm" } else { "cold" });
-                link.hello = true;
+                (link.hello, link.asked) = (true, None);
                 let up = Duration::from_secs_f64((up_ms / 1e3).clamp(0.0, 1e6));
                 let born = Instant::now().checked_sub(up);
                 let anew = match (self.born, born) {
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -36,6 +36,8 @@
     idle_since: Instant,
     /// Nothing more is read; what was read is still answered.
     read_closed: bool,
+    /// An answer was the last that its edge node wants on this connection.
+    last_word: bool,
     /// How many connections there may be, for edge nodes that ask.
     connections_most: usize,
 }
@@ -53,6 +55,7 @@
             open: HashMap::new(),
             idle_since: Instant::now(),
             read_closed: false,
+            last_word: false,
             connections_most,
         }
     }
@@ -68,7 +71,7 @@
         loop {
             self.take_answers();
             let blocked = self.going.drain(&self.socket)? == Flow::Blocked;
-            if self.read_closed && self.at_rest() {
+            if (self.read_closed || self.last_word) && self.at_rest() {
                 return Ok(());
             }
             let end = self.at_rest().then(|| self.idle_since + self.exchange.borrow().trim_after());
@@ -248,9 +251,7 @@
     fn write(&mut self, id: u16, keep: bool, head: &str, body: &[u8]) {
         fastcgi::answer(&mut self.going, id, head, body);
         self.idle_since = Instant::now();
-        if !keep {
-            self.stop_reading();
-        }
+        self.last_word |= !keep;
     }
 }
 
--- a/crates/merlinshelf-backend/src/server/mod.rs
+++ b/crates/merlinshelf-backend/src/server/mod.rs
@@ -28,6 +28,11 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let named = |error: io::Error| io::Error::new(error.kind(), format!("listen: {address}: {error}"));
+    bind(address).map_err(named)
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -411,6 +411,25 @@
     assert_snapshot!(trace);
 }
 
+#[test]
+fn a_link_that_falls_silent_is_replaced() {
+    let rig = Rig::start(1024, &[]);
+    let mut silent = rig.engine();
+    // Questions go unanswered from here on, and so does the next ATTACH.
+    let mut waits = Vec::new();
+    for _ in 0..2 {
+        let began = Instant::now();
+        silent = Peer::accept(&rig.engine);
+        assert_eq!(silent.message(), "ATTACH 0");
+        waits.push(began.elapsed().as_secs());
+    }
+    assert!(waits.iter().all(|wait| (2..=4).contains(wait)), "{waits:?}");
+    silent.send("HELLO WARM 12000\r\n");
+    let mut edge = rig.edge();
+    edge.send(ask(1, "transcript-search", b"", &[]));
+    assert!(silent.message().starts_with("RUN"));
+}
+
 #[test]
 fn calls_below_are_made_and_their_ends_told_apart() {
     let mut rig = Rig::start(1024, &[]);
@@ -607,6 +626,14 @@
         let _ = write!(trace, "{} {text}", ended.status);
         std::fs::remove_file(&path).expect("a file");
     }
+    // An address that is taken is named too.
+    let (_taken, address) = bind();
+    let path = configuration(&[("127.0.0.1:6565", &address)]);
+    let ended = program(&path, 1024).wait_with_output().expect("an end");
+    let log = String::from_utf8_lossy(&ended.stderr).replace(&address, "ADDRESS");
+    let named = log.lines().last().unwrap_or("").split(" (os").next().unwrap_or("");
+    let _ = writeln!(trace, "{} {named}", ended.status);
+    std::fs::remove_file(&path).expect("a file");
     let missing = PathBuf::from("/nowhere/config.json");
     let ended = program(&missing, 1024).wait_with_output().expect("an end");
     let _ = write!(trace, "{} {}", ended.status, String::from_utf8_lossy(&ended.stderr));
