Hand gauges to the module when they come, with its next beat brought forward

Suspected: the gauge of what needs a core is compared with the module's own count of runs at the beat, up to 10 ms after the engine took it. Ruled out: the link's delay (0.1 ms) and CPU (0.06 s in a second). Faulty lines: exchange/runs gauges and fresh_gauges, which stored the answer for the next beat.

--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -18,8 +18,9 @@
 
 /// Between two attempts at a link.
 const PAUSE: Duration = Duration::from_millis(50);
-/// Between two questions for the gauges: the module looks at them as often.
-const ASK_EVERY: Duration = Duration::from_millis(10);
+/// Between two questions for the gauges: a little less than the module's beat of 10 ms, so that mostly the
+/// answer brings the beat and the timer need not.
+const ASK_EVERY: Duration = Duration::from_millis(8);
 /// A link on which a question or a later ATTACH stays unanswered for so long is dead and is replaced.
 const SILENT_MOST: Duration = Duration::from_secs(3);
 /// Two words on when the engine was started that lie no further apart mean the same start.
@@ -181,9 +182,9 @@
             },
             Notice::Note { text, .. } => info!("the engine notes: {}", text.escape_ascii()),
             Notice::Stats { tag, ref gauges } => {
-                exchange.gauges(gauges);
+                let age = link.asked.take().map_or(Duration::MAX, |asked| asked.elapsed());
+                exchange.gauges(gauges, age);
                 drop(exchange);
-                link.asked = None;
                 self.answered(link, tag);
             }
         }
--- a/crates/merlinshelf-backend/src/exchange/alarms.rs
+++ b/crates/merlinshelf-backend/src/exchange/alarms.rs
@@ -1,7 +1,7 @@
 //! What is to happen at a time, soonest first.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
 use merlinshelf_protocol::CallId;
@@ -16,23 +16,58 @@
 
 /// Times are counted from the exchange's start, on a clock that never goes back.
 #[derive(Debug, Default)]
-pub struct Alarms(BinaryHeap<Reverse<(Duration, Alarm)>>);
+pub struct Alarms {
+    all: BinaryHeap<Reverse<(Duration, Alarm)>>,
+    /// The one wake of each handle that counts: the last that was asked for.
+    wakes: BTreeMap<u64, Duration>,
+}
 
 impl Alarms {
+    /// A wake takes the place of one with the same handle that has not rung yet.
     pub fn set(&mut self, at: Duration, alarm: Alarm) {
-        self.0.push(Reverse((at, alarm)));
+        if let Alarm::Wake(handle) = alarm {
+            self.wakes.insert(handle, at);
+        }
+        self.all.push(Reverse((at, alarm)));
     }
 
     pub fn next(&self) -> Option<Duration> {
-        self.0.peek().map(|Reverse((at, _))| *at)
+        self.all.peek().map(|Reverse((at, _))| *at)
     }
 
     pub fn take(&mut self, now: Duration) -> Option<Alarm> {
-        self.next().filter(|at| *at <= now)?;
-        self.0.pop().map(|Reverse((_, alarm))| alarm)
+        while let Some(at) = self.next().filter(|at| *at <= now) {
+            match self.all.pop()?.0.1 {
+                Alarm::Wake(handle) if self.wakes.get(&handle) != Some(&at) => {}
+                Alarm::Wake(handle) => {
+                    self.wakes.remove(&handle);
+                    return Some(Alarm::Wake(handle));
+                }
+                alarm => return Some(alarm),
+            }
+        }
+        None
+    }
+
+    /// Brings the soonest wake forward to this moment, and says its handle.
+    pub fn pull_wake(&mut self) -> Option<u64> {
+        let (handle, _) = self.wakes.iter().min_by_key(|(_, at)| **at)?;
+        let handle = *handle;
+        self.wakes.remove(&handle);
+        Some(handle)
+    }
+
+    #[cfg(test)]
+    pub fn wakes(&self) -> &BTreeMap<u64, Duration> {
+        &self.wakes
+    }
+
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.all.len()
     }
 
     pub fn clear(&mut self) {
-        self.0.clear();
+        *self = Alarms::default();
     }
 }
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -54,7 +54,6 @@
     doors: Doors,
     alarms: Alarms,
     alarmed: Rc<Notify>,
-    gauges: Option<(Instant, BTreeMap<String, f64>)>,
     commands: Outbox<(Command, u64)>,
     orders: [Outbox<Order>; LANES],
     left: Rc<Notify>,
@@ -107,7 +106,6 @@
             doors: Doors::default(),
             alarms: Alarms::default(),
             alarmed: Rc::default(),
-            gauges: None,
             commands: Outbox::default(),
             orders: Default::default(),
             left: Rc::default(),
@@ -134,10 +132,7 @@
         while let Some(alarm) = self.alarms.take(now) {
             match alarm {
                 Alarm::Call(id, number) => self.call_timed_out(id, number),
-                Alarm::Wake(handle) => {
-                    let gauges = self.fresh_gauges();
-                    self.decide(|shedder, now| shedder.woken(now, handle, &gauges));
-                }
+                Alarm::Wake(handle) => self.wake(handle, &BTreeMap::new()),
             }
         }
     }
--- a/crates/merlinshelf-backend/src/exchange/runs.rs
+++ b/crates/merlinshelf-backend/src/exchange/runs.rs
@@ -9,11 +9,10 @@
 use merlinshelf_protocol::CallId;
 use merlinshelf_protocol::engine::End;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use super::{Answer, Exchange};
 
-/// Gauges that are older than this say nothing about now.
+/// Gauges that may be older than this say nothing about now.
 pub(super) const GAUGES_AGE: Duration = Duration::from_millis(100);
 
 /// What the engine is to do.
@@ -93,11 +92,28 @@
         Some(inv)
     }
 
-    /// The gauges, in the order of the settings.
-    pub fn gauges(&mut self, values: &[f64]) {
+    /// The gauges, in the order of the settings, asked for so long ago. The module hears them at this moment,
+    /// with its next wake brought forward: it takes what runs by its own count from what the engine counts,
+    /// and by the time the wake was due runs would have ended and begun.
+    pub fn gauges(&mut self, values: &[f64], age: Duration) {
         self.counters.stats += 1;
+        if age > GAUGES_AGE {
+            return;
+        }
+        let gauges = self.named(values);
+        if let Some(handle) = self.alarms.pull_wake() {
+            self.wake(handle, &gauges);
+        }
+    }
+
+    /// By the names of the settings; what is no number is left out.
+    pub(super) fn named(&self, values: &[f64]) -> BTreeMap<String, f64> {
         let named = self.meters.iter().cloned().zip(values.iter().copied());
-        self.gauges = Some((Instant::now(), named.filter(|(_, value)| value.is_finite()).collect()));
+        named.filter(|(_, value)| value.is_finite()).collect()
+    }
+
+    pub(super) fn wake(&mut self, handle: u64, gauges: &BTreeMap<String, f64>) {
+        self.decide(|shedder, now| shedder.woken(now, handle, gauges));
     }
 
     /// The engine did not carry out a command.
@@ -131,12 +147,6 @@
         }
     }
 
-    /// Each answer of the engine is passed on once, and none that is old.
-    pub(super) fn fresh_gauges(&mut self) -> BTreeMap<String, f64> {
-        let fresh = self.gauges.take().filter(|(at, _)| at.elapsed() < GAUGES_AGE);
-        fresh.map(|(_, gauges)| gauges).unwrap_or_default()
-    }
-
     pub(super) fn begin(&mut self, inv: usize) {
         let Some(one) = self.hand.get(inv) else { return };
         one.begun = true;
--- a/crates/merlinshelf-backend/src/exchange/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -8,7 +8,6 @@
 use tokio::time::advance;
 
 use super::arrivals::told;
-use super::runs::GAUGES_AGE;
 use super::*;
 use crate::config::Config;
 
@@ -243,16 +242,34 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn gauges_are_passed_on_once_and_never_old() {
+async fn gauges_bring_the_beat_forward_and_old_ones_do_not() {
     let play = Play::start();
-    let gauges = |values: &[f64]| play.shared.borrow_mut().gauges(values);
-    let told = || format!("{:?}", play.shared.borrow_mut().fresh_gauges());
-    gauges(&[0.5, f64::NAN, 0.25, 7.0]);
-    assert_eq!(told(), r#"{"cpu_busy": 0.5, "mem_used": 0.25, "sockets": 7.0}"#);
-    assert_eq!(told(), "{}", "passed on twice");
-    gauges(&[0.5]);
-    advance(GAUGES_AGE).await;
-    assert_eq!(told(), "{}", "passed on though old");
+    let named = play.shared.borrow().named(&[0.5, f64::NAN, 0.25, 7.0, 1.0]);
+    assert_eq!(format!("{named:?}"), r#"{"cpu_busy": 0.5, "mem_used": 0.25, "sockets": 7.0}"#);
+    let gauges = |age: u64| play.shared.borrow_mut().gauges(&[0.5, 1.0], Duration::from_millis(age));
+    let beat_in = || {
+        let wakes = play.shared.borrow().alarms.wakes().clone();
+        let now = play.shared.borrow().origin.elapsed();
+        wakes.values().map(|at| at.saturating_sub(now).as_millis()).collect::<Vec<_>>()
+    };
+    play.shared.borrow_mut().ring_alarms();
+    advance(Duration::from_millis(4)).await;
+    gauges(101);
+    assert_eq!(beat_in(), [6], "old gauges pass for new");
+    gauges(1);
+    assert_eq!(beat_in(), [10]);
+    // The beat that was due stays away, and wakes do not grow in number.
+    for _ in 0..100 {
+        advance(Duration::from_millis(4)).await;
+        gauges(1);
+        play.shared.borrow_mut().ring_alarms();
+        assert_eq!(beat_in(), [10]);
+    }
+    assert!(play.shared.borrow().alarms.len() <= 4);
+    // Without gauges the timer brings it.
+    advance(Duration::from_millis(10)).await;
+    play.shared.borrow_mut().ring_alarms();
+    assert_eq!(beat_in(), [10]);
 }
 
 #[tokio::test(start_paused = true)]
