--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -457,6 +457,68 @@
     assert_snapshot!(trace);
 }
 
+#[test]
+fn each_reply_word_is_taken_for_what_it_proves_and_idle_lanes_are_retired() {
+    let mut rig = Rig::start(1024, &[("\"stop_ms\": 3200", "\"stop_ms\": 400")]);
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    let mut below: Option<Peer> = None;
+    for (number, word) in (1..).zip(["overload", "stale", "internal", "deadline"]) {
+        edge.send(ask(number, "thumbnail", b"", &[]));
+        assert!(engine.message().starts_with("RUN"));
+        engine.send(format!("NEED {} {} 0\r\n\r\n", 2 * number - 1, id(number)));
+        let lane = below.get_or_insert_with(|| Peer::accept(&rig.catalogue));
+        assert!(lane.message().starts_with(&format!("invoke {}", id(number))));
+        lane.send(format!("{} {word}\r\n", id(number)));
+        engine.idle(millis(20));
+        // The run ends by itself, whatever the module does about the call.
+        engine.send(format!("DONE {} {} OK 50 0\r\n\r\n", 2 * number, id(number)));
+        assert!(edge.answer().contains("200 OK"));
+    }
+    // Its far end would close it after 10 s; a call that met that would have an end that proves nothing.
+    let (mut lane, idle) = (below.expect("a lane"), Instant::now());
+    while lane.stream.peek(&mut [0]).is_err() || lane.line().is_some() {
+        engine.idle(millis(20));
+        assert!(idle.elapsed() < millis(9500), "it stays open");
+    }
+    assert!(idle.elapsed() > millis(5000), "it is closed too soon to be of use");
+    rig.signal("TERM");
+    let (_, log) = rig.end();
+    let counts = log.lines().last().unwrap_or("");
+    assert!(counts.contains(" calls_never_ran=2 calls_failed=2 calls_timed_out=0 "), "{counts}");
+}
+
+#[test]
+fn idle_connections_are_closed_and_no_others() {
+    let rig = Rig::start(1024, &[("30000000", "600000")]); // the module trims at a third of that
+    let (mut engine, mut idle, mut edge) = (rig.engine(), rig.edge(), rig.edge());
+    let began = Instant::now();
+    edge.send(ask(1, "transcript-search", b"", &[]));
+    assert!(engine.message().starts_with("RUN"));
+    let half = ask(2, "transcript-search", b"", &[]);
+    let mut reading = rig.edge();
+    reading.send(&half[..half.len() / 2]);
+    assert_eq!(idle.answer(), "closed");
+    assert!(began.elapsed() > millis(150), "closed after {:?}", began.elapsed());
+    engine.idle(millis(500));
+    reading.send(&half[half.len() / 2..]);
+    assert!(engine.message().starts_with("RUN"));
+    for (number, open) in [(1, &mut edge), (2, &mut reading)] {
+        engine.send(format!("DONE {number} {} OK 700 4\r\nfine\r\n", id(number)));
+        assert!(open.answer().ends_with("fine"));
+        assert_eq!(open.answer(), "closed");
+    }
+}
+
+#[test]
+fn a_membership_service_that_never_answers_is_asked_again() {
+    let rig = Rig::start(1024, &[]);
+    let (mut first, began) = (Peer::accept(&rig.members), Instant::now());
+    assert_eq!(first.line().as_deref(), Some("PUT /members/n0 HTTP/1.1"));
+    let mut second = Peer::accept(&rig.members);
+    assert_eq!(second.line().as_deref(), Some("PUT /members/n0 HTTP/1.1"));
+    assert!(began.elapsed() < millis(1500), "asked again after {:?}", began.elapsed());
+}
+
 #[test]
 fn a_slow_reader_holds_up_nobody_and_loses_nothing() {
     let rig = Rig::start(1024, &[("\"Cores\": 2", "\"Cores\": 40")]);
