--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -168,6 +168,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if let (true, Some(pipe)) = (std::thread::panicking(), self.child.stderr.as_mut()) {
+            let mut log = String::new();
+            let _ = pipe.read_to_string(&mut log);
+            eprintln!("the program's log:\n{log}");
+        }
         let _ = std::fs::remove_file(&self.config);
     }
 }
@@ -178,6 +183,13 @@
     (listener, address)
 }
 
+/// An address that nobody else has: a port that was free a moment ago may be anybody's by now.
+fn free_address() -> String {
+    static TAKEN: AtomicUsize = AtomicUsize::new(1);
+    let ([.., high, low], number) = (std::process::id().to_be_bytes(), TAKEN.fetch_add(1, Ordering::SeqCst));
+    format!("127.{}.{low}.{number}:6565", 1 + high % 250)
+}
+
 fn program(config: &PathBuf, descriptors: usize) -> Child {
     let start = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_merlinshelf"));
     let mut command = Command::new("/bin/sh");
@@ -197,8 +209,7 @@
 impl Rig {
     fn start(descriptors: usize, changes: &[(&str, &str)]) -> Rig {
         let ((engine, at_engine), (catalogue, at_catalogue)) = (bind(), bind());
-        let ((members, at_members), (own, address)) = (bind(), bind());
-        drop(own);
+        let ((members, at_members), address) = (bind(), free_address());
         let addresses = [
             ("127.0.0.1:9300", at_engine.as_str()),
             ("127.0.0.1:5432", &at_catalogue),
