--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -16,8 +16,10 @@
 use crate::exchange::{Command, Shared};
 use crate::ring::{Flow, Ring};
 
-/// Between two attempts at a link.
+/// Between two attempts at a link; one that had stood for a while is replaced at once, since the cores run dry
+/// meanwhile.
 const PAUSE: Duration = Duration::from_millis(50);
+const STOOD: Duration = Duration::from_secs(1);
 /// Between two questions for the gauges: a little less than the module's beat of 10 ms, so that mostly the
 /// answer brings the beat and the timer need not.
 const ASK_EVERY: Duration = Duration::from_millis(8);
@@ -57,6 +59,7 @@
 pub async fn hold(address: SocketAddr, exchange: Shared) {
     let mut engine = Engine { exchange, last: 0, unsure: VecDeque::new(), tag: 0, born: None };
     loop {
+        let began = Instant::now();
         match connect(address).await {
             Ok(socket) => {
                 let reason = engine.attach(socket).await;
@@ -64,7 +67,9 @@
             }
             Err(error) => debug!("no link to the engine: {error}"),
         }
-        sleep(PAUSE).await;
+        if began.elapsed() < STOOD {
+            sleep(PAUSE).await;
+        }
     }
 }
 
