Let the next call of an invocation give up the one before, without a cancel

With the next call on another connection, the cancel of the one before could be read after it and end it, and the call would hang to its time-out (exchange/calls: call).

--- a/crates/merlinshelf-backend/src/client/catalogue.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue.rs
@@ -96,6 +96,9 @@
                     catalogue::cancel(&mut self.going, id);
                 }
             }
+            Order::Forget { id } => {
+                self.open.remove(&id);
+            }
         }
         self.idle_since = Instant::now();
     }
--- a/crates/merlinshelf-backend/src/exchange/calls.rs
+++ b/crates/merlinshelf-backend/src/exchange/calls.rs
@@ -18,8 +18,19 @@
 /// What the catalogue is to be asked.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    Invoke { id: CallId, wait: f64, body: Rc<[u8]> },
-    Cancel { id: CallId },
+    Invoke {
+        id: CallId,
+        wait: f64,
+        body: Rc<[u8]>,
+    },
+    Cancel {
+        id: CallId,
+    },
+    /// Given up by the next call of the same invocation, which is under way on another lane: a `cancel` that
+    /// came after that one might be taken for it.
+    Forget {
+        id: CallId,
+    },
 }
 
 /// How a call below has ended.
@@ -105,9 +116,13 @@
         self.drop_call(inv);
         let Some(one) = self.hand.get(inv) else { return };
         let Some((_, body)) = one.need.clone() else { return };
+        let (id, before) = (one.id, one.calls % LANES);
+        for order in self.orders[before].iter_mut().filter(|order| **order == Order::Cancel { id }) {
+            *order = Order::Forget { id };
+        }
         one.calls += 1;
         one.calling = true;
-        let (id, calls) = (one.id, one.calls);
+        let calls = one.calls;
         self.counters.calls += 1;
         self.orders[calls % LANES].push(Order::Invoke { id, wait, body });
         let at = self.origin.elapsed() + Duration::from_secs_f64(wait.clamp(0.001, 3600.0));
--- a/crates/merlinshelf-backend/src/exchange/outbox.rs
+++ b/crates/merlinshelf-backend/src/exchange/outbox.rs
@@ -27,6 +27,11 @@
         self.waiting.pop_front()
     }
 
+    /// What still waits there, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.waiting.iter_mut()
+    }
+
     pub fn len(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/merlinshelf-backend/src/exchange/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -80,6 +80,7 @@
                         writeln!(self.trace, "    lane {lane}: {id} {wait:.2} s {}", body.escape_ascii())
                     }
                     Order::Cancel { id } => writeln!(self.trace, "    lane {lane}: cancel {id}"),
+                    Order::Forget { id } => writeln!(self.trace, "    lane {lane}: forget {id}"),
                 };
             }
         }
