--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -11,6 +11,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use insta::assert_snapshot;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 const EXAMPLE: &str = include_str!("../../../examples/config.json");
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -259,6 +261,24 @@
     }
 }
 
+/// Lets the engine answer every run at once, and counts them.
+fn serve_all(mut engine: Peer, result: &str) -> Arc<AtomicUsize> {
+    let answered = Arc::new(AtomicUsize::new(0));
+    let (count, result) = (answered.clone(), result.to_owned());
+    std::thread::spawn(move || {
+        for number in 1.. {
+            let run = engine.message();
+            if run.is_empty() {
+                return;
+            }
+            let done = format!("DONE {number} {} OK 1 {}\r\n{result}\r\n", &run[4..20], result.len());
+            engine.send(done);
+            count.store(number, Ordering::SeqCst);
+        }
+    });
+    answered
+}
+
 fn record(kind: u8, tag: u16, content: &[u8], padding: u8) -> Vec<u8> {
     let ([high, low], length) = (tag.to_be_bytes(), (content.len() as u16).to_be_bytes());
     [&[1, kind, high, low, length[0], length[1], padding, 0], content, &vec![0; padding.into()]].concat()
@@ -533,20 +553,9 @@
 #[test]
 fn a_slow_reader_holds_up_nobody_and_loses_nothing() {
     let rig = Rig::start(1024, &[("\"Cores\": 2", "\"Cores\": 40")]);
-    let (mut engine, mut slow, mut edge) = (rig.engine(), rig.edge(), rig.edge());
+    let (engine, mut slow, mut edge) = (rig.engine(), rig.edge(), rig.edge());
     let result = "r".repeat(4096);
-    let answered = Arc::new(AtomicUsize::new(0));
-    let (count, whole) = (answered.clone(), result.clone());
-    std::thread::spawn(move || {
-        for number in 1.. {
-            let run = engine.message();
-            if run.is_empty() {
-                return;
-            }
-            engine.send(format!("DONE {number} {} OK 1 4096\r\n{whole}\r\n", &run[4..20]));
-            count.store(number, Ordering::SeqCst);
-        }
-    });
+    let answered = serve_all(engine, &result);
     // 32 at a time, never read, until the program reads no more of them: all between is full then.
     let mut sent = 0;
     let stalled = |sent: usize| {
@@ -599,6 +608,33 @@
     assert!(edge.answer().ends_with("3 200 OK||fine"));
 }
 
+#[test]
+fn garbled_bytes_end_nothing_but_their_own_connection() {
+    let mut rig = Rig::start(1024, &[("\"stop_ms\": 3200", "\"stop_ms\": 400")]);
+    serve_all(rig.engine(), "fine");
+    let mut rng = Pcg32::seed_from_u64(11);
+    for tag in 1..=300 {
+        let mut bytes = ask(tag, "transcript-search", b"body", &[]);
+        for _ in 0..rng.random_range(1..5) {
+            let place = rng.random_range(0..bytes.len());
+            match rng.random_range(0..3) {
+                0 => bytes[place] = rng.random(),
+                1 => drop(bytes.drain(place..)),
+                _ => bytes.insert(place, rng.random()),
+            }
+            bytes.push(0);
+        }
+        // Whatever comes of it, the far end may be gone before all is written.
+        let _ = rig.edge().stream.write_all(&bytes);
+    }
+    let mut edge = rig.edge();
+    edge.send(ask(301, "transcript-search", b"", &[]));
+    assert!(edge.answer().ends_with("fine"));
+    rig.signal("TERM");
+    let (status, log) = rig.end();
+    assert!(status.success() && !log.contains("panic") && log.contains("a connection ends"), "{log}");
+}
+
 #[test]
 fn a_full_table_of_descriptors_is_survived() {
     let rig = Rig::start(64, &[("\"sockets\": 1024", "\"sockets\": 64")]);
