--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -518,6 +518,33 @@
     assert!(counts.contains(" calls_never_ran=2 calls_failed=2 calls_timed_out=0 "), "{counts}");
 }
 
+#[test]
+fn a_call_without_a_reply_is_cancelled_in_time_and_its_late_reply_dropped() {
+    let rig = Rig::start(1024, &[("1700000", "1200000")]); // a latency objective of 1.2 s
+    let (mut engine, mut edge) = (rig.engine(), rig.edge());
+    edge.send(ask(1, "thumbnail", b"", &[]));
+    let mut trace = engine.message() + "\n";
+    engine.send(format!("NEED 1 {} 3\r\none\r\n", id(1)));
+    // Each call gives up the one before; the last is cancelled, as none comes after it.
+    let called = Instant::now();
+    let mut lanes: Vec<Peer> = Vec::new();
+    for _ in 0..3 {
+        lanes.push(Peer::accept(&rig.catalogue));
+        let call = lanes.last_mut().expect("a lane").message();
+        let _ = writeln!(trace, "{} ... {}", &call[..23], &call[call.len() - 5..]);
+    }
+    let mut lane = lanes.pop().expect("a lane");
+    let _ = writeln!(trace, "{}\n{}", engine.message(), lane.message());
+    assert!(called.elapsed() < millis(1600), "given up after {:?}", called.elapsed());
+    // The run goes on to its next call; what comes late for this one is not fed to it.
+    engine.send(format!("NEED 2 {} 3\r\ntwo\r\n", id(1)));
+    lane.send(format!("{} ok 4\r\nlate\r\n", id(1)));
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.send(format!("DONE 3 {} OK 400 4\r\nfine\r\n", id(1)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    assert_snapshot!(trace);
+}
+
 #[test]
 fn idle_connections_are_closed_and_no_others() {
     let rig = Rig::start(1024, &[("30000000", "600000")]); // the module trims at a third of that
