Take in who waits behind a full table before closing the listener

Faulty lines: server/mod accept slept through a full table without heeding the word to close, so that connections that waited, with all they had written, were reset at the end. The new test fails without the change.

--- a/crates/merlinshelf-backend/src/server/mod.rs
+++ b/crates/merlinshelf-backend/src/server/mod.rs
@@ -54,7 +54,10 @@
         }
         exchange.borrow_mut().set_crowded(full || failing);
         if full || failing {
-            sleep(PAUSE).await;
+            select! {
+                () = sleep(PAUSE) => {}
+                () = &mut closed => break,
+            }
         }
         if full {
             failing = true;
--- a/crates/merlinshelf-backend/tests/backend.rs
+++ b/crates/merlinshelf-backend/tests/backend.rs
@@ -685,6 +685,23 @@
     assert!(edge.answer().ends_with("fine"));
 }
 
+#[test]
+fn who_waits_behind_a_full_table_is_answered_before_the_end() {
+    let changes = [("\"sockets\": 1024", "\"sockets\": 64"), ("\"stop_ms\": 3200", "\"stop_ms\": 1200")];
+    let mut rig = Rig::start(64, &changes);
+    let mut engine = rig.engine();
+    let half = ask(1, "transcript-search", b"", &[]);
+    let mut half_sent: Vec<Peer> = (0..32).map(|_| rig.edge()).collect();
+    half_sent.iter_mut().for_each(|edge| edge.send(&half[..20]));
+    engine.idle(millis(100));
+    let mut waiting = rig.edge();
+    waiting.send(ask(1, "", b"", &[("SCRIPT_NAME", "/status/live")]));
+    rig.signal("TERM");
+    assert!(waiting.answer().starts_with("1 503"));
+    let (status, log) = rig.end();
+    assert!(status.success() && log.contains("all 32 connections are in use"), "{log}");
+}
+
 #[test]
 fn reports_go_out_and_sigterm_ends_it_with_all_answered() {
     let mut rig =
