--- a/crates/merlinshelf-backend/src/exchange/arrivals.rs
+++ b/crates/merlinshelf-backend/src/exchange/arrivals.rs
@@ -131,6 +131,14 @@
         (!self.is_full() && place.grow(PLACE_BYTES)).then_some(place)
     }
 
+    /// The place of one that another process was reading: it had one, and what was begun is not cut off by a bound.
+    pub fn keep_place(&self, bytes: usize) -> Place {
+        let mut place = Place { taken: self.reading.clone(), most: usize::MAX, bytes: 0 };
+        place.grow(PLACE_BYTES + bytes);
+        place.most = self.reading_most;
+        place
+    }
+
     /// Whether as many are in hand as there may be.
     pub fn is_full(&self) -> bool {
         self.hand.len() >= self.hand_most
--- a/crates/merlinshelf-backend/src/exchange/carry.rs
+++ b/crates/merlinshelf-backend/src/exchange/carry.rs
@@ -186,6 +186,11 @@
         self.journal.is_some()
     }
 
+    /// Memory that notes take which the predecessor has not read, in bytes.
+    pub fn unread_notes(&self) -> u64 {
+        self.journal.as_ref().map_or(0, Journal::unread)
+    }
+
     /// Puts a part's own record with what is noted next.
     pub fn stage(&mut self, key: Key, record: &impl Serialize) {
         if let Some(journal) = &mut self.journal {
--- a/crates/merlinshelf-backend/src/fault.rs
+++ b/crates/merlinshelf-backend/src/fault.rs
@@ -1,4 +1,4 @@
-//! Faults on demand, in debug builds alone: the tests let a successor die, end or hang at a named point.
+//! Faults on demand, in debug builds and in successors alone: the tests let one die, end or hang at a named point.
 
 /// Fails here if `MERLINSHELF_FAULT` says so: `POINT:TIMES:HOW`, at that pass of the point; `how` is `abort`, `exit` or
 /// `hang`.
@@ -9,6 +9,7 @@
     static FAULT: OnceLock<Option<(String, u64, String)>> = OnceLock::new();
     static PASSED: AtomicU64 = AtomicU64::new(0);
     let fault = FAULT.get_or_init(|| {
+        std::env::var_os(crate::upgrade::channel::HANDOVER)?;
         let text = std::env::var("MERLINSHELF_FAULT").ok()?;
         let mut words = text.split(':');
         let (point, times, how) = (words.next()?, words.next()?, words.next()?);
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -47,6 +47,8 @@
 
 /// The channel of a successor that exits ends a moment before the process does.
 const EXIT_WITHIN: Duration = Duration::from_millis(100);
+/// A predecessor reads what is noted twenty times a second; with so much unread it is asleep.
+const UNREAD_MOST: u64 = 32 * 1024 * 1024;
 /// Who asked for an upgrade has this long to read how it ended, when the process ends with it.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
@@ -278,6 +280,9 @@
             Event::SuccessorEnded => {
                 let status = self.guard.as_mut().and_then(Guard::reap);
                 let served = self.keeper.serves();
+                for word in self.guard.as_mut().map(Guard::last_words).unwrap_or_default() {
+                    self.keeper.heard(now, word);
+                }
                 self.keeper.died(status);
                 if served {
                     self.guard = None; // it never held anything
@@ -285,6 +290,7 @@
             }
             Event::FromElder(Ok((word, descriptors))) => {
                 if let Word::Pass { roles } = &word {
+                    fault::point("heir.pass");
                     self.inherited.extend(roles.iter().copied().zip(descriptors));
                 }
                 if let Some(heir) = &mut self.heir {
@@ -309,7 +315,12 @@
                 if let Some(heir) = &mut self.heir {
                     heir.woken(now);
                     if let (true, Some(instance)) = (heir.notes(), &self.instance) {
-                        instance.exchange.borrow_mut().secure_instance();
+                        let mut exchange = instance.exchange.borrow_mut();
+                        exchange.secure_instance();
+                        if exchange.unread_notes() > UNREAD_MOST {
+                            warn!("the predecessor reads no notes: it goes on without it");
+                            heir.unread();
+                        }
                     }
                 }
             }
@@ -439,7 +450,7 @@
                     );
                     self.instance = Some(prepared.go(&self.config, self.peers));
                 }
-                self.open_control()?;
+                self.try_control();
             }
             heir::Step::Free => {
                 info!("the predecessor watches no longer");
@@ -485,13 +496,16 @@
         let began = Instant::now();
         let mut guard = self.guard.take().ok_or_else(|| io::Error::other("there is nothing to take back"))?;
         let (image, passed, learnt) = guard.take()?;
+        if let Ok((later, _)) = load(&self.start.config) {
+            self.peers = later.peers; // SIGHUP may have come meanwhile
+        }
         let prepared = self.prepare(&image, passed, learnt)?;
         let (edges, lines, hand) = prepared.sums();
         let broken = prepared.broken;
         let instance = prepared.go(&self.config, self.peers);
         instance.exchange.borrow_mut().counters.taken_back += 1;
         self.instance = Some(instance);
-        self.open_control()?;
+        self.try_control();
         info!(
             connections = edges, calls = lines, in_hand = hand, broken = broken;
             "taken up again within {} ms: {edges} connections, {lines} calls, {hand} in hand, {broken} connections broken",
@@ -566,6 +580,13 @@
         Ok(())
     }
 
+    /// Service goes on without it where it can't be had.
+    fn try_control(&mut self) {
+        if let Err(error) = self.open_control() {
+            warn!("no control: {error}");
+        }
+    }
+
     fn asked_for(&mut self, asked: Asked) {
         match asked {
             Asked::Status(reply) => _ = reply.send(self.status()),
--- a/crates/merlinshelf-backend/src/instance.rs
+++ b/crates/merlinshelf-backend/src/instance.rs
@@ -247,9 +247,10 @@
 
     /// Stops everything where it stands and takes it down. The listener stays with the caller.
     pub async fn freeze(self) -> Result<(Frozen, Rc<Listening>), &'static str> {
-        let Instance { exchange, listener, accepting, mut handing_in, .. } = self;
+        let Instance { exchange, listener, mut accepting, mut handing_in, .. } = self;
         let listener = listener.upgrade().ok_or("the listener is closed")?;
-        drop(accepting);
+        accepting.0.abort();
+        let _ = (&mut accepting.0).await; // its hold on the listener ends with it
         exchange.borrow_mut().freeze();
         let all = async {
             for part in &mut handing_in {
--- a/crates/merlinshelf-backend/src/journal.rs
+++ b/crates/merlinshelf-backend/src/journal.rs
@@ -26,6 +26,11 @@
         Journal { file: file.into(), staged: Transaction::default() }
     }
 
+    /// Memory that notes take which nobody has read yet, in bytes.
+    pub fn unread(&self) -> u64 {
+        self.file.metadata().map_or(0, |state| std::os::unix::fs::MetadataExt::blocks(&state) * 512)
+    }
+
     pub fn put(&mut self, key: Key, record: &impl Serialize) {
         self.staged.put(key, record);
     }
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -74,6 +74,8 @@
     last_word: bool,
     /// How many connections there may be, for edge nodes that ask.
     connections_most: usize,
+    /// Another process has opened it.
+    resumed: bool,
 }
 
 impl Connection {
@@ -105,6 +107,7 @@
             read_closed: false,
             last_word: false,
             connections_most,
+            resumed: false,
         }
     }
 
@@ -122,16 +125,14 @@
         (connection.coming, connection.going) = (Ring::resumed(coming, taken), Ring::resumed(going, given));
         connection.records = Records::resumed(record.record);
         for partial in record.partials {
-            // They had their places, and there is no more memory in use than before.
-            if let Some(mut place) = exchange.borrow().take_place() {
-                place.grow(partial.params.len() + partial.body.len());
-                connection.assembly.resume(partial, place);
-            }
+            let place = exchange.borrow().keep_place(partial.params.len() + partial.body.len());
+            connection.assembly.resume(partial, place);
         }
         connection.open = record.open.into_iter().collect();
         (connection.astray, connection.faults) = (record.astray, record.faults);
         connection.said = Said::from_number(record.said);
         (connection.read_closed, connection.last_word) = (record.read_closed, record.last_word);
+        connection.resumed = true;
         let partly = connection.records.within() || !connection.coming.is_empty();
         if connection.said > Said::Nothing && !partly {
             connection.unfinished_since = None;
@@ -171,11 +172,14 @@
     /// Serves it to its end; the door, the seat and the socket are given back when it is dropped here, or handed in
     /// where it goes on elsewhere.
     pub async fn serve(mut self) {
-        if let Err(error) = pass(&self.exchange, Role::Edge(self.door.stream()), &self.socket).await {
-            warn!("a connection can't be passed on and ends: {error}");
-            return;
+        if !self.resumed {
+            // One that a predecessor has opened is known to it.
+            if let Err(error) = pass(&self.exchange, Role::Edge(self.door.stream()), &self.socket).await {
+                warn!("a connection can't be passed on and ends: {error}");
+                return;
+            }
+            self.secure();
         }
-        self.secure();
         let ended = self.run().await;
         if self.exchange.borrow().is_frozen() {
             let record = self.record();
@@ -220,8 +224,11 @@
             if !self.going.is_empty() {
                 self.secure();
             }
+            let writes = !self.going.is_empty();
             let blocked = self.drain()?;
-            fault::point("edge.written");
+            if writes {
+                fault::point("edge.written");
+            }
             if (self.read_closed || self.last_word) && self.at_rest() {
                 return Ok(());
             }
@@ -348,7 +355,9 @@
         }
         let read = self.read_by(Ring::peek)?;
         self.secure();
-        fault::point("edge.noted");
+        if read {
+            fault::point("edge.noted");
+        }
         self.coming.taken_out(&self.socket)?;
         Ok(read)
     }
--- a/crates/merlinshelf-backend/src/upgrade/guard.rs
+++ b/crates/merlinshelf-backend/src/upgrade/guard.rs
@@ -25,6 +25,9 @@
     /// Readable once the process has ended: never another one that got its number.
     process: AsyncFd<OwnedFd>,
     pub channel: Channel,
+    /// Where the image is written for it, and where it notes; made first, so that nothing is frozen without them.
+    file: OwnedFd,
+    journal: OwnedFd,
     held: Option<Held>,
 }
 
@@ -34,13 +37,13 @@
     /// Copies of all that was handed over or opened since, by what it is.
     passed: Passed,
     learnt: Option<Learnt>,
-    journal: OwnedFd,
     follower: Follower,
 }
 
 impl Guard {
     /// Starts the program with this process's own arguments.
     pub fn start(program: PathBuf) -> io::Result<Guard> {
+        let (file, journal) = (memory_file("merlinshelf-image")?, memory_file("merlinshelf-journal")?);
         let (channel, theirs) = Channel::pair()?;
         let number = std::os::fd::AsRawFd::as_raw_fd(&theirs).to_string();
         let arguments = std::env::args_os().skip(1);
@@ -55,7 +58,7 @@
             Ok(unsafe { AsyncFd::register_with_interest(process, Interest::READABLE) }?)
         });
         match watched {
-            Ok(process) => Ok(Guard { child, process, channel, held: None }),
+            Ok(process) => Ok(Guard { child, process, channel, file, journal, held: None }),
             Err(error) => {
                 let _ = child.kill();
                 let _ = child.wait();
@@ -87,22 +90,19 @@
         }
     }
 
-    /// Keeps what was frozen.
+    /// Keeps what was frozen, whatever becomes of it, and writes it down for the successor.
     pub fn hold(&mut self, mut frozen: Frozen, listener: OwnedFd) -> io::Result<()> {
         let bytes = frozen.image.take();
         let mut image = Image::default();
-        image.apply(&bytes).map_err(|why| io::Error::other(why.to_string()))?;
+        let read = image.apply(&bytes).map_err(|why| io::Error::other(why.to_string()));
         let instance: Option<records::Instance> = image.get(Key::Instance);
-        let journal = memory_file("merlinshelf-journal")?;
-        let follower = Follower::new(journal.try_clone()?);
-        let file = memory_file("merlinshelf-image")?;
-        std::io::Write::write_all(&mut std::fs::File::from(file.try_clone()?), &bytes)?;
         let mut passed = frozen.passed;
         passed.insert(Role::Listener, listener);
-        passed.insert(Role::Image, file);
         let learnt = instance.and_then(|instance| instance.learnt);
-        self.held = Some(Held { image, passed, learnt, journal, follower });
-        Ok(())
+        let follower = Follower::new(self.journal.try_clone()?);
+        self.held = Some(Held { image, passed, learnt, follower });
+        read?;
+        std::io::Write::write_all(&mut std::fs::File::from(self.file.try_clone()?), &bytes)
     }
 
     /// Hands over copies of everything; how many descriptors these were.
@@ -110,7 +110,7 @@
         let held = self.held.as_ref().ok_or_else(|| io::Error::other("nothing is frozen"))?;
         let mut all: Vec<(Role, BorrowedFd)> =
             held.passed.iter().map(|(role, descriptor)| (*role, descriptor.as_fd())).collect();
-        all.push((Role::Journal, held.journal.as_fd()));
+        all.extend([(Role::Image, self.file.as_fd()), (Role::Journal, self.journal.as_fd())]);
         for batch in all.chunks(BATCH) {
             let (roles, descriptors): (Vec<Role>, Vec<BorrowedFd>) = batch.iter().copied().unzip();
             self.channel.send(&Word::Pass { roles }, &descriptors).await?;
@@ -151,14 +151,22 @@
         Ok(())
     }
 
-    /// Everything as the successor left it, whose process has ended: image, descriptors, what was learnt before.
-    pub fn take(&mut self) -> io::Result<(Image, Passed, Option<Learnt>)> {
-        // What it still said comes first, since it may have brought descriptors.
+    /// What the successor, whose process has ended, had still said, as far as it counts after its end: that it leaves, or
+    /// that it notes nothing any more. What was passed with its words is kept.
+    pub fn last_words(&mut self) -> Vec<Word> {
+        let mut last = Vec::new();
         while let Some((word, descriptors)) = self.channel.receive_now() {
-            if let Word::Opened { role } = word {
-                self.opened(role, descriptors);
+            match word {
+                Word::Opened { role } => self.opened(role, descriptors),
+                Word::Unwatched | Word::Leaves { .. } => last.push(word),
+                _ => {}
             }
         }
+        last
+    }
+
+    /// Everything as the successor left it, whose process has ended and whose last words were heard: image, descriptors, what was learnt before.
+    pub fn take(&mut self) -> io::Result<(Image, Passed, Option<Learnt>)> {
         self.follow()?;
         let held = self.held.take().ok_or_else(|| io::Error::other("nothing is held"))?;
         Ok((held.image, held.passed, held.learnt))
--- a/crates/merlinshelf-cli/src/check.rs
+++ b/crates/merlinshelf-cli/src/check.rs
@@ -23,14 +23,11 @@
     {
         failed |= result.is_err();
         if as_json {
-            println!(
-                "{}",
-                json!({ "file": path, "what": what, "usable": result.is_ok(), "why": result.err() })
-            );
+            tell!("{}", json!({ "file": path, "what": what, "usable": result.is_ok(), "why": result.err() }));
         } else {
             match result {
-                Ok(()) => println!("{}: can be used", path.display()),
-                Err(why) => println!("{why}"),
+                Ok(()) => tell!("{}: can be used", path.display()),
+                Err(why) => tell!("{why}"),
             }
         }
     }
--- a/crates/merlinshelf-cli/src/main.rs
+++ b/crates/merlinshelf-cli/src/main.rs
@@ -1,5 +1,13 @@
 //! The program that operators run. Without a command and with `PROXY_CONFIG` it serves, as the platform starts it.
 
+/// A line on standard output; a reader that has gone costs the line and nothing else.
+macro_rules! tell {
+    ($($words:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($words)*);
+    }};
+}
+
 mod check;
 mod remote;
 
--- a/crates/merlinshelf-cli/src/remote.rs
+++ b/crates/merlinshelf-cli/src/remote.rs
@@ -61,7 +61,7 @@
 
 fn failed(socket: &Path, error: &io::Error, as_json: bool) -> ExitCode {
     if as_json {
-        println!("{}", json!({ "failed": error.to_string(), "control": socket }));
+        tell!("{}", json!({ "failed": error.to_string(), "control": socket }));
     }
     eprintln!("merlinshelf: {}: {error}", socket.display());
     ExitCode::from(FAILED)
@@ -72,9 +72,9 @@
     match answer {
         Ok((Word::Done, report)) => {
             if as_json {
-                println!("{report}");
+                tell!("{report}");
             } else {
-                print!("{}", page(&report));
+                tell!("{}", page(&report).trim_end());
             }
             ExitCode::SUCCESS
         }
@@ -111,9 +111,9 @@
         Err(error) => return failed(socket, &error, as_json),
     };
     if as_json {
-        println!("{report}");
+        tell!("{report}");
     } else {
-        println!("{}", text(&report));
+        tell!("{}", text(&report));
     }
     if wait {
         let most = Duration::from_millis(report["stop_ms"].as_u64().unwrap_or(60_000)) + WITHIN;
@@ -125,7 +125,7 @@
             std::thread::sleep(LOOK_EVERY);
         }
         if !as_json {
-            println!("it has left");
+            tell!("it has left");
         }
     }
     ExitCode::SUCCESS
@@ -144,7 +144,7 @@
             Err(error) => return failed(socket, &error, as_json),
         };
         if as_json {
-            println!("{report}");
+            tell!("{report}");
         } else if word != Word::More || io::stderr().is_terminal() {
             eprintln!("{:>6} ms  {}", began.elapsed().as_millis(), text(&report));
         }
--- a/crates/merlinshelf-handover/src/heir.rs
+++ b/crates/merlinshelf-handover/src/heir.rs
@@ -8,6 +8,9 @@
 
 /// Between two words that its main loop turns.
 const BEAT: Duration = Duration::from_millis(50);
+/// An old process that does not release a steady successor for so long is asleep: notes that nobody reads would fill the
+/// memory.
+const RELEASED_WITHIN: Duration = Duration::from_secs(10);
 
 /// What the host is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
@@ -179,6 +182,9 @@
                 return;
             }
             *beat = now;
+            if now >= *since + self.watched + RELEASED_WITHIN && !self.leaves {
+                return self.unread();
+            }
             let word = if now >= *since + self.watched && !*steady && !self.leaves {
                 *steady = true;
                 Word::Steady
@@ -189,6 +195,14 @@
         }
     }
 
+    /// Nobody reads its notes any more: it goes on alone.
+    pub fn unread(&mut self) {
+        if self.notes() {
+            self.steps.push_back(Step::Say(Word::Unwatched));
+            self.free();
+        }
+    }
+
     fn serve(&mut self, now: Duration) {
         self.state = State::Watched { since: now, beat: now, steady: false };
         self.steps.push_back(Step::Serve);
--- a/crates/merlinshelf-handover/src/keeper.rs
+++ b/crates/merlinshelf-handover/src/keeper.rs
@@ -277,6 +277,12 @@
                 self.tell(Progress::Done);
                 self.steps.push_back(Step::End);
             }
+            // This process was asleep; nothing here can be gone on with.
+            (State::Watching { .. }, Word::Unwatched) => {
+                self.state = State::Ended;
+                self.tell(Progress::Done);
+                self.steps.push_back(Step::End);
+            }
             // One that leaves is watched to its end.
             (State::Watching { heard, .. }, Word::Steady) => *heard = now,
             (_, Word::Refuse { why }) => self.failed(why),
--- a/crates/merlinshelf-handover/src/words.rs
+++ b/crates/merlinshelf-handover/src/words.rs
@@ -47,6 +47,9 @@
     Steady,
     /// It was told to leave and must be gone by then.
     Leaves { stop: Moment },
+    /// Nobody has released it for far too long, or its notes are not read: it goes on alone and notes nothing any
+    /// more.
+    Unwatched,
     // from the old process
     /// The form that is used from here on.
     Form { form: u32 },
--- a/crates/merlinshelf-lab/src/instance.rs
+++ b/crates/merlinshelf-lab/src/instance.rs
@@ -31,9 +31,37 @@
     pub sockets: u64,
     pub watched: Duration,
     pub silent: Duration,
+    /// From the notice to leave until the process must be gone.
+    pub stop: Duration,
+    /// What two processes together may hold and use.
+    pub descriptors: u64,
+    pub both_mb: u64,
+    /// What the operations do, in the words of the settings: `read_like` may be run and called again.
+    pub effect: String,
     pub manner: Manner,
 }
 
+impl Setup {
+    /// A small one with all that a trial needs.
+    pub fn small(program: impl Into<PathBuf>) -> Setup {
+        let calling = vec!["thumbnail".into(), "playback-token".into()];
+        let (work, below) = (Duration::from_millis(5), Duration::from_millis(3));
+        Setup {
+            program: program.into(),
+            cores: 8,
+            memory_mb: 192,
+            sockets: 1024,
+            watched: Duration::from_millis(800),
+            silent: Duration::from_millis(250),
+            stop: Duration::from_millis(3200),
+            descriptors: 4096,
+            both_mb: 1024,
+            effect: "read_like".into(),
+            manner: Manner { work, cores: 8.0, calling, below, says: false },
+        }
+    }
+}
+
 pub struct Instance {
     pub address: String,
     pub records: Shared,
@@ -85,6 +113,10 @@
         config["settings"]["FamilyInfo"]["Cores"] = json!(setup.cores);
         config["settings"]["FamilyInfo"]["HeapKb"] = json!(19110.0 * f64::from(setup.cores));
         config["settings"]["FamilyInfo"]["CallShare"] = json!(4 * setup.cores);
+        for class in config["settings"]["Classes"].as_array_mut().into_iter().flatten() {
+            class["Effect"] = json!(setup.effect);
+        }
+        config["stop_ms"] = json!(setup.stop.as_millis() as u64);
         let control = folder.join("control");
         let operator = json!({
             "control": { "socket": control },
@@ -94,31 +126,17 @@
                 "watched_ms": setup.watched.as_millis() as u64,
                 "silent_ms": setup.silent.as_millis() as u64,
                 "ready_ms": 3000,
-                "descriptors": 4096,
-                "memory_mb": 1024,
+                "descriptors": setup.descriptors,
+                "memory_mb": setup.both_mb,
             },
         });
         std::fs::write(folder.join("config.json"), config.to_string())?;
         std::fs::write(folder.join("operator.json5"), operator.to_string())?;
-        let instance_files = (folder.join("config.json"), folder.join("operator.json5"));
         Engine::start(engine, setup.manner.clone(), records.clone());
         Catalogue::start(catalogue, setup.manner.clone(), records.clone());
         Members::start(members, setup.manner.says);
-        let mut command = Command::new(&setup.program);
-        command.arg("serve").arg("--config").arg(&instance_files.0).arg("--operator").arg(&instance_files.1);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        let mut child = command.spawn()?;
         let log = Rc::<RefCell<Vec<Value>>>::default();
-        if let Some(pipe) = child.stderr.take() {
-            let log = log.clone();
-            spawn_local(async move {
-                let mut lines = BufReader::new(pipe).lines();
-                while let Ok(Some(line)) = lines.next_line().await {
-                    let line = serde_json::from_str(&line).unwrap_or_else(|_| json!({ "text": line }));
-                    log.borrow_mut().push(line);
-                }
-            });
-        }
+        let child = launch(&setup.program, &folder, &log)?;
         let instance = Instance { address, records, folder, control, child, log };
         instance.successor_is(&format!("exec '{}' \"$@\"", setup.program.display()))?;
         instance.logged("the engine is up", 1).await?;
@@ -189,6 +207,53 @@
         }
     }
 
+    /// Time on the cores of the process that was started first, of all its threads.
+    pub fn cpu(&self) -> io::Result<Duration> {
+        let id = self.child.id().ok_or_else(|| io::Error::other("it has ended"))?;
+        let mut sum = 0;
+        for thread in std::fs::read_dir(format!("/proc/{id}/task"))? {
+            let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
+            sum += text.split(' ').next().and_then(|nanos| nanos.parse::<u64>().ok()).unwrap_or(0);
+        }
+        Ok(Duration::from_nanos(sum))
+    }
+
+    /// Memory in KB and descriptors of all processes that live now, together.
+    pub fn together(&self) -> (u64, u64) {
+        let mut sums = (0, 0);
+        for id in self.processes() {
+            let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+            let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("");
+            sums.0 += line.trim().split(' ').next().and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0);
+            sums.1 += std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, |all| all.count() as u64);
+        }
+        sums
+    }
+
+    /// Most memory of the process that was started first, in KB.
+    pub fn memory_most_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().split(' ').next()?.parse().ok()
+    }
+
+    /// Ends all processes, without asking.
+    pub async fn end(&mut self) {
+        self.processes().into_iter().for_each(|process| signal(process, Signal::KILL));
+        let _ = self.child.wait().await;
+    }
+
+    /// Tells the first process to leave by signal, waits for its end and starts the program anew between the same
+    /// stand-ins: the way without upgrades.
+    pub async fn restart(&mut self, program: &Path) -> io::Result<()> {
+        if let Some(id) = self.child.id() {
+            signal(id, Signal::TERM);
+        }
+        self.child.wait().await?;
+        self.child = launch(program, &self.folder, &self.log)?;
+        Ok(())
+    }
+
     /// Waits for the end of the process that was started first; its status.
     pub async fn first_ended(&mut self) -> io::Result<Option<i32>> {
         let status = timeout(PATIENCE, self.child.wait()).await??;
@@ -209,6 +274,28 @@
     }
 }
 
+/// Starts the program with an instance's files and keeps its log.
+fn launch(program: &Path, folder: &Path, log: &Rc<RefCell<Vec<Value>>>) -> io::Result<Child> {
+    let (config, operator) = (folder.join("config.json"), folder.join("operator.json5"));
+    let mut command = Command::new(program);
+    command.arg("serve").arg("--config").arg(&config).arg("--operator").arg(&operator);
+    // Versions before the command line know this variable only.
+    command.env("PROXY_CONFIG", &config);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    let mut child = command.spawn()?;
+    if let Some(pipe) = child.stderr.take() {
+        let log = log.clone();
+        spawn_local(async move {
+            let mut lines = BufReader::new(pipe).lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                let line = serde_json::from_str(&line).unwrap_or_else(|_| json!({ "text": line }));
+                log.borrow_mut().push(line);
+            }
+        });
+    }
+    Ok(child)
+}
+
 /// A question under way.
 pub struct Talk {
     stream: UnixStream,
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -16,7 +16,7 @@
 use tokio::select;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::stand_in::{Records, result_of};
 use crate::wire::ask;
@@ -72,6 +72,8 @@
     /// Served with what no run made of it.
     pub spoilt: u64,
     pub run_twice: u64,
+    /// Invocations for which more than one call reached the catalogue; no rule for those that may be repeated.
+    pub called_twice: u64,
     pub wrong_feeds: u64,
     pub broken: u64,
 }
@@ -99,7 +101,7 @@
         Ok(Playing { seen, sending })
     }
 
-    async fn send(&self, writers: Vec<(UnboundedSender<(u16, Vec<u8>)>, Open)>, seen: Shared) {
+    async fn send(&self, writers: Vec<Writer>, seen: Shared) {
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
         let (mut at, mut number) = (Instant::now(), 0_u64);
         while !seen.borrow().closing {
@@ -138,6 +140,8 @@
 type Open = Rc<RefCell<HashMap<u16, String>>>;
 /// Invocations to be written: tag and bytes.
 type Going = UnboundedReceiver<(u16, Vec<u8>)>;
+/// Where one connection's invocations are written, and what is open there.
+type Writer = (UnboundedSender<(u16, Vec<u8>)>, Open);
 
 pub struct Playing {
     pub seen: Shared,
@@ -190,16 +194,33 @@
             seen.borrow_mut().broken += 1;
             kept.clear();
         }
-        stream = match TcpStream::connect(&address).await {
-            Ok(stream) => stream,
-            Err(_) => {
+        // Where nobody listens for a while, what is asked for meanwhile fails at once.
+        let mut refused = false;
+        stream = loop {
+            match TcpStream::connect(&address).await {
+                Ok(stream) => break stream,
+                Err(_) if seen.borrow().closing => return,
+                Err(_) => {}
+            }
+            if !std::mem::replace(&mut refused, true) {
                 seen.borrow_mut().broken += 1;
-                return;
             }
+            while let Ok((tag, _)) = going.try_recv() {
+                kept.remove(&tag);
+                let id = open.borrow_mut().remove(&tag);
+                let mut seen = seen.borrow_mut();
+                if let Some(sent) = id.and_then(|id| seen.sent.get_mut(&id)) {
+                    sent.answers.push((Instant::now(), NOBODY));
+                }
+            }
+            sleep(Duration::from_millis(20)).await;
         };
     }
 }
 
+/// The status of what found nobody to ask.
+const NOBODY: u16 = 599;
+
 /// Reads answers until the connection ends.
 async fn read(mut input: OwnedReadHalf, seen: Shared, open: Open) {
     let mut outs: HashMap<u16, Vec<u8>> = HashMap::new();
@@ -254,6 +275,7 @@
             verdict.doubled += (sent.answers.len() as u64).saturating_sub(1);
             verdict.spoilt += u64::from(sent.spoilt);
             verdict.run_twice += u64::from(records.runs.get(id).is_some_and(|runs| *runs > 1));
+            verdict.called_twice += u64::from(records.calls.get(id).is_some_and(|calls| *calls > 1));
             match sent.answers.first() {
                 // The rules on sockets give 50 ms more.
                 Some((at, _)) if *at > sent.at + patience + Duration::from_millis(50) => verdict.lost += 1,
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -55,6 +55,35 @@
 
 #[derive(Subcommand)]
 enum Trial {
+    /// Time on the cores an invocation, against another program, played in turn
+    Cost {
+        /// The other program, for instance the version before
+        #[arg(long)]
+        against: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 5)]
+        pairs: u32,
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Service after an upgrade under load, against a drain and a cold start of another program
+    Restart {
+        /// The other program, for instance the version before
+        #[arg(long)]
+        against: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 500.0)]
+        rate: f64,
+        /// How long the service is looked at, in seconds
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Upgrades under full load, some of which fail
     Upgrade {
         #[arg(long, default_value_t = 1)]
@@ -103,12 +132,24 @@
             local.block_on(&runtime, demo::run(&setup))
         }
         Command::StandIns { config } => {
-            let manner = Manner { work: Duration::from_millis(60), says: true, ..manner(2) };
+            let manner = Setup::small("").manner;
+            let manner = Manner { work: Duration::from_millis(60), cores: 2.0, says: true, ..manner };
             local.block_on(&runtime, standing::serve(&config, manner)).map(|()| true)
         }
         Command::Ask { config, operation, body, many } => {
             standing::ask(&config, &operation, &body, many).map(|()| true)
         }
+        Command::Trial { trial: Trial::Cost { against, seed, pairs, rate, program } } => {
+            let setup = setup(found(program)?, 64, Duration::from_millis(800));
+            let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
+            local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
+        }
+        Command::Trial { trial: Trial::Restart { against, seed, rate, seconds, program } } => {
+            let (setup, looked) =
+                (setup(found(program)?, 64, Duration::from_millis(800)), Duration::from_secs(seconds));
+            let plan = trial::restart::Plan { seed, rate, against, looked, setup };
+            local.block_on(&runtime, trial::restart::run(&plan)).map(|(_, clean)| clean)
+        }
         Command::Trial {
             trial: Trial::Upgrade { seed, rounds, fail, rate, connections, watched_ms, json, program },
         } => {
@@ -127,19 +168,10 @@
     }
 }
 
-fn manner(cores: u32) -> Manner {
-    Manner {
-        work: Duration::from_millis(5),
-        cores: f64::from(cores),
-        calling: vec!["thumbnail".into(), "playback-token".into()],
-        below: Duration::from_millis(3),
-        says: false,
-    }
-}
-
 fn setup(program: PathBuf, cores: u32, watched: Duration) -> Setup {
-    let silent = Duration::from_millis(400);
-    Setup { program, cores, memory_mb: 192, sockets: 1024, watched, silent, manner: manner(cores) }
+    let mut setup = Setup::small(program);
+    (setup.cores, setup.manner.cores, setup.watched) = (cores, f64::from(cores), watched);
+    setup
 }
 
 /// The program beside this one. Where cargo runs this, it is built first.
--- a/crates/merlinshelf-lab/src/script/rig.rs
+++ b/crates/merlinshelf-lab/src/script/rig.rs
@@ -71,8 +71,9 @@
 /// Writes the example's configuration with some texts replaced.
 pub fn configuration(changes: &[(&str, &str)]) -> PathBuf {
     let text = changes.iter().fold(EXAMPLE.to_owned(), |text, (from, to)| text.replace(from, to));
-    let unique = format!("{}-{:?}", std::process::id(), std::thread::current().id());
-    let path = std::env::temp_dir().join(format!("merlinshelf-{}.json", unique.replace(['(', ')'], "")));
+    static WRITTEN: AtomicUsize = AtomicUsize::new(0);
+    let unique = format!("{}-{}", std::process::id(), WRITTEN.fetch_add(1, Ordering::SeqCst));
+    let path = std::env::temp_dir().join(format!("merlinshelf-{unique}.json"));
     std::fs::write(&path, text).expect("a file");
     path
 }
--- a/crates/merlinshelf-lab/src/trial/upgrade.rs
+++ b/crates/merlinshelf-lab/src/trial/upgrade.rs
@@ -80,6 +80,8 @@
     from: Instant,
     until: Instant,
     stall: Duration,
+    /// Memory in KB and descriptors of both processes, at the highest that was seen.
+    together: (u64, u64),
 }
 
 /// Plays it; the last line that is printed is the JSON object. False where a rule broke.
@@ -105,9 +107,8 @@
         let round = upgrade(&instance, &plan.setup, fate).await?;
         println!("round {:>3}  {:<28} {}", number + 1, format!("{fate:?}"), round.ended);
         rounds.push(round);
-        let status = instance.status().await?;
-        memory = memory.max(status["memory_kb"].as_u64().unwrap_or(0));
-        descriptors = descriptors.max(status["descriptors"].as_u64().unwrap_or(0));
+        let (kb, open) = rounds.last().map_or((0, 0), |round: &Round| round.together);
+        (memory, descriptors) = (memory.max(kb), descriptors.max(open));
         sleep(Duration::from_millis(150)).await;
     }
     sleep(Duration::from_millis(500)).await;
@@ -132,6 +133,18 @@
     Ok(report(plan, &rounds, verdict, &ordinary, (&before, &after), (memory, descriptors)))
 }
 
+/// Asks for an upgrade to a successor whose program is these lines of a shell, and says how it ended.
+pub async fn round(instance: &Instance, program: &str) -> io::Result<String> {
+    instance.successor_is(program)?;
+    let mut talk = instance.ask(Question::Upgrade).await?;
+    loop {
+        let (word, report) = talk.next().await?;
+        if word != Word::More {
+            return Ok(report["stage"].as_str().unwrap_or("").to_owned());
+        }
+    }
+}
+
 /// Asks for an upgrade and lets the successor fare as drawn.
 async fn upgrade(instance: &Instance, setup: &Setup, fate: Fate) -> io::Result<Round> {
     instance.successor_is(&fate.program(setup))?;
@@ -139,8 +152,11 @@
     let from = Instant::now();
     let mut talk = instance.ask(Question::Upgrade).await?;
     let mut ended = String::new();
+    let mut together = (0, 0);
     loop {
         let (word, report) = talk.next().await?;
+        let now = instance.together();
+        together = (now.0.max(together.0), now.1.max(together.1));
         match (word, report["stage"].as_str().unwrap_or(""), fate) {
             (Word::More, "starting", Fate::KilledEarly(after)) => {
                 sleep(Duration::from_millis(after)).await;
@@ -162,7 +178,7 @@
             }
         }
     }
-    Ok(Round { fate, ended, from, until: Instant::now(), stall: Duration::ZERO })
+    Ok(Round { fate, ended, from, until: Instant::now(), stall: Duration::ZERO, together })
 }
 
 impl Instance {
@@ -204,10 +220,13 @@
         all
     };
     let millis = |micros: u64| (micros as f64 / 100.0).round() / 10.0;
-    let kinds: [(&str, Histogram<u64>); 3] = [
+    let hung = |round: &Round| matches!(round.fate, Fate::Stopped(_));
+    let kinds: [(&str, Histogram<u64>); 4] = [
         ("done", stalls(&|round| round.ended == "done")),
         ("given_up", stalls(&|round| round.ended == "given_up")),
-        ("taken_back", stalls(&|round| round.ended == "taken_back")),
+        ("taken_back", stalls(&|round| round.ended == "taken_back" && !hung(round))),
+        // Nobody serves from the hang until it is found: that takes `silent_ms`.
+        ("after a hang", stalls(&|round| round.ended == "taken_back" && hung(round))),
     ];
     println!("\n{:<12} {:>7} {:>12} {:>12} {:>12}", "upgrades", "count", "stall p50", "p99", "worst");
     for (name, of) in &kinds {
@@ -241,11 +260,11 @@
         "lost": verdict.lost, "doubled": verdict.doubled, "spoilt": verdict.spoilt, "run_twice": verdict.run_twice,
         "wrong_feeds": verdict.wrong_feeds, "broken": verdict.broken, "sent": verdict.sent, "served": verdict.served,
         "refused": verdict.refused, "errored": verdict.failed, "rate": plan.rate, "connections": plan.connections,
-        "stall_done": stall(&kinds[0].1), "stall_given_up": stall(&kinds[1].1), "stall_taken_back": stall(&kinds[2].1),
+        "stall_done": stall(&kinds[0].1), "stall_given_up": stall(&kinds[1].1), "stall_taken_back": stall(&kinds[2].1), "stall_hang": stall(&kinds[3].1),
         "ordinary_p50_ms": millis(ordinary.value_at_quantile(0.5)),
         "ordinary_p99_ms": millis(ordinary.value_at_quantile(0.99)),
-        "memory_kb": { "before": before["memory_kb"], "after": after["memory_kb"], "most": memory },
-        "descriptors": { "before": before["descriptors"], "after": after["descriptors"], "most": descriptors },
+        "memory_kb": { "before": before["memory_kb"], "after": after["memory_kb"], "both": memory },
+        "descriptors": { "before": before["descriptors"], "after": after["descriptors"], "both": descriptors },
     });
     println!("{line}");
     (line, clean)
--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -5,6 +5,7 @@
 //! A rule names a condition, which picks an invocation, and an effect on it. Each effect moves that
 //! invocation on (answered, held, started, called) or settles a value, so that the going-through ends.
 
+use std::cell::LazyCell;
 use std::collections::{BTreeMap, VecDeque};
 
 use rand::{RngExt, SeedableRng};
@@ -69,6 +70,7 @@
     born: f64,
     leave_at: Option<(f64, f64)>,
     ops: Vec<Operation>,
+    by_work: bool, // whether billed value is counted by work
     rates: Vec<f64>,
     invs: Vec<Inv>,
     live: Vec<usize>,  // in order of arrival
@@ -121,6 +123,7 @@
         let mut new = Shedder { settings, now, salt: seed, born: now, busy_at: now, ..Shedder::default() };
         new.rng = Some(Pcg32::seed_from_u64(seed));
         new.ops = (0..new.num("Classes.count", 0.0).max(1.0) as usize).map(|op| new.operation(op)).collect();
+        new.by_work = new.text("CountedBy") == "work";
         new.limit = new.cores();
         // The dependency slows well before its share is full: half of it at the start let all backends jam
         // it together before they had samples, a quarter took long to rise where it had room.
@@ -556,7 +559,7 @@
         let op = &self.ops[it.told.operation];
         let again = if it.told.again { 0.5 } else { 1.0 }; // 0.2 tried: no better
         let share = again * if it.over_share { self.num("OverShareWorth", 1.0) } else { 1.0 };
-        let work = if self.text("CountedBy") == "work" { 1.0 } else { self.core_time(it).max(1e-3) };
+        let work = if self.by_work { 1.0 } else { self.core_time(it).max(1e-3) };
         op.value * share / work
     }
 
@@ -704,15 +707,20 @@
     }
 
     fn call_to_skip(&self) -> Option<usize> {
+        // What holds for all is found out once: with hundreds at a jam each would look through all others, until
+        // nothing but this was done any more.
+        let breaker = LazyCell::new(|| self.breaker_holds());
+        // Half of the limit is kept for operations that can't do without, if such run here.
+        let needs = |op: &Operation| op.calls && op.skip_value == 0.0 && !op.runs.is_empty();
+        let kept = LazyCell::new(|| self.ops.iter().any(needs) && self.paced_below(0.5));
+        let full = LazyCell::new(|| self.room_below() == 0.0);
+        let stakes = || self.all(|it| it.stage == Stage::AtCall).map(|it| self.stake(it));
+        let dearest = LazyCell::new(|| stakes().fold(f64::NEG_INFINITY, f64::max));
         self.first(|it| {
             let op = &self.ops[it.told.operation];
-            let late = self.now + mean(&op.below) + 0.5 * self.core_time(it) > it.by;
-            let dearer = |one: &Inv| one.stage == Stage::AtCall && self.stake(one) > self.stake(it);
-            // Half of the limit is kept for operations that can't do without, if such run here.
-            let needs = |op: &Operation| op.calls && op.skip_value == 0.0 && !op.runs.is_empty();
-            let kept = || self.ops.iter().any(needs) && self.paced_below(0.5);
-            let short = || kept() || self.room_below() == 0.0 && self.first(dearer).is_some();
-            let skip = || !self.may_call(it) || self.breaker_holds() || late || short();
+            let late = || self.now + mean(&op.below) + 0.5 * self.core_time(it) > it.by;
+            let short = || *kept || *full && *dearest > self.stake(it);
+            let skip = || !self.may_call(it) || *breaker || late() || short();
             it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip()
         })
     }
