--- a/crates/merlinshelf-cli/tests/upgrade.rs
+++ b/crates/merlinshelf-cli/tests/upgrade.rs
@@ -143,7 +143,7 @@
 #[test]
 fn ten_upgrades_in_a_row_leave_everything_as_it_was() {
     let setup = Setup { watched: ms(150), ..setup() };
-    let plan = Plan { seed: 5, rounds: 10, fail: 0.0, rate: 150.0, connections: 16, setup };
+    let plan = Plan { seed: 5, rounds: 10, fail: 0.0, hangs: false, rate: 150.0, connections: 16, setup };
     let (line, clean) = play(upgrade::run(&plan));
     assert!(clean, "{line}");
     let of = |name: &str, at: &str| line[name][at].as_u64().expect("a figure");
--- /dev/null
+++ b/crates/merlinshelf-knowledge/src/book.rs
@@ -0,0 +1,184 @@
+//! All figures that an instance keeps, its own and told ones, and what it believes.
+
+use std::collections::BTreeMap;
+
+use crate::fact::{AGE_MOST, Figure, HOPS_MOST, Origin, Standing, Subject, Told, Unbelievable};
+
+/// Origins that are kept for one subject: enough that a lying one is outvoted, few enough that 3,000 peers cost no more
+/// than 8.
+const ORIGINS_MOST: usize = 8;
+/// Subjects that are kept: operations and dependencies of a large installation.
+const SUBJECTS_MOST: usize = 512;
+/// So many samples make a figure half as sure as it can get.
+const HALF_SURE: f64 = 8.0;
+/// Own samples at which what was told counts for half at the most: a few.
+const FEW: f64 = 3.0;
+
+/// What is believed of a subject from what was told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Belief {
+    pub value: f64,
+    /// How sure it is, 0 to 1.
+    pub weight: f64,
+    /// Who has seen what it rests on, the surest first.
+    pub origins: Vec<Origin>,
+}
+
+impl Belief {
+    /// The part that what was told still has beside so many samples of one's own.
+    pub fn share(&self, own_samples: usize) -> f64 {
+        self.weight / (self.weight + own_samples as f64 / FEW)
+    }
+
+    /// A figure of what was told and one's own, by the part each has.
+    pub fn beside(&self, own: f64, own_samples: usize) -> f64 {
+        if own_samples == 0 {
+            return self.value;
+        }
+        let share = self.share(own_samples);
+        self.value * share + own * (1.0 - share)
+    }
+}
+
+/// The book of one instance in one life.
+#[derive(Clone, Debug)]
+pub struct Book {
+    own: Origin,
+    number: u64,
+    figures: BTreeMap<Subject, BTreeMap<Origin, Figure>>,
+}
+
+impl Book {
+    pub fn new(own: Origin) -> Book {
+        Book { own, number: 0, figures: BTreeMap::new() }
+    }
+
+    pub fn own(&self) -> &Origin {
+        &self.own
+    }
+
+    /// Something was seen here.
+    pub fn see(&mut self, now: f64, subject: Subject, value: f64, count: u32, standing: Standing) {
+        self.number += 1;
+        let figure = Figure { value, count, seen: now, number: self.number, hops: 0, standing };
+        let own = self.own.clone();
+        self.put(now, subject, own, figure);
+    }
+
+    /// Somebody told. The same look of the same origin is the same figure, by whatever way and however often it comes: it
+    /// gets no younger and no surer by that.
+    pub fn hear(&mut self, now: f64, told: Told) -> Result<(), Unbelievable> {
+        told.check(&self.own)?;
+        let Told { subject, origin, value, count, age, number, hops, standing } = told;
+        let mut figure = Figure { value, count, seen: now - age, number, hops, standing };
+        if let Some(known) = self.figures.get(&subject).and_then(|all| all.get(&origin)) {
+            if known.number > number {
+                return Ok(());
+            }
+            if known.number == number {
+                figure =
+                    Figure { seen: known.seen.min(figure.seen), hops: known.hops.min(hops), ..known.clone() };
+            }
+        }
+        self.put(now, subject, origin, figure);
+        Ok(())
+    }
+
+    fn put(&mut self, now: f64, subject: Subject, origin: Origin, figure: Figure) {
+        if !self.figures.contains_key(&subject) && self.figures.len() >= SUBJECTS_MOST {
+            self.forget_oldest();
+        }
+        let all = self.figures.entry(subject.clone()).or_default();
+        all.insert(origin, figure);
+        // Of too many the one that counts least goes, never what was seen here.
+        while all.len() > ORIGINS_MOST {
+            let own = &self.own;
+            let others = all.iter().filter(|(origin, _)| *origin != own);
+            let weighed = others.map(|(origin, figure)| (weight(now, &subject, figure), origin.clone()));
+            match weighed.min_by(|a, b| a.0.total_cmp(&b.0)) {
+                Some((_, least)) => all.remove(&least),
+                None => break,
+            };
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let newest =
+            |all: &BTreeMap<Origin, Figure>| all.values().map(|figure| figure.seen).fold(f64::MIN, f64::max);
+        let oldest = self.figures.iter().min_by(|a, b| newest(a.1).total_cmp(&newest(b.1)));
+        if let Some(subject) = oldest.map(|(subject, _)| subject.clone()) {
+            self.figures.remove(&subject);
+        }
+    }
+
+    /// What may be told to others: what was seen here, and once more what was told by who had seen it.
+    pub fn tell(&self, now: f64) -> Vec<Told> {
+        let mut all = Vec::new();
+        for (subject, figures) in &self.figures {
+            for (origin, figure) in figures {
+                let (age, hops) = ((now - figure.seen).max(0.0), figure.hops + 1);
+                if hops <= HOPS_MOST && age <= AGE_MOST {
+                    all.push(Told {
+                        subject: subject.clone(),
+                        origin: origin.clone(),
+                        value: figure.value,
+                        count: figure.count,
+                        age,
+                        number: figure.number,
+                        hops,
+                        standing: figure.standing,
+                    });
+                }
+            }
+        }
+        all
+    }
+
+    /// What is believed of a subject from what others have seen: the median by weight, so that no single liar moves it past
+    /// what an honest one says where there are two of those.
+    pub fn believe(&self, now: f64, subject: &Subject) -> Option<Belief> {
+        let all = self.figures.get(subject)?;
+        let others = all.iter().filter(|(origin, _)| **origin != self.own);
+        let mut weighed: Vec<(f64, f64, &Origin)> =
+            others.map(|(origin, figure)| (figure.value, weight(now, subject, figure), origin)).collect();
+        weighed.retain(|(_, weight, _)| *weight > 0.01);
+        weighed.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let whole: f64 = weighed.iter().map(|(_, weight, _)| weight).sum();
+        let mut below = 0.0;
+        let value = weighed.iter().find(|(_, weight, _)| {
+            below += weight;
+            below >= whole / 2.0
+        });
+        let value = value?.0;
+        // As sure as the surest: many echoes of a guess are still a guess.
+        let surest = weighed.iter().map(|(_, weight, _)| *weight).fold(0.0, f64::max);
+        weighed.sort_by(|a, b| b.1.total_cmp(&a.1));
+        Some(Belief {
+            value,
+            weight: surest,
+            origins: weighed.into_iter().map(|(_, _, of)| of.clone()).collect(),
+        })
+    }
+
+    /// The figures by subject and origin, for reports.
+    pub fn figures(&self) -> impl Iterator<Item = (&Subject, &Origin, &Figure)> {
+        self.figures
+            .iter()
+            .flat_map(|(subject, all)| all.iter().map(move |(origin, of)| (subject, origin, of)))
+    }
+
+    /// Forgets all that this origin has seen, in whatever life.
+    pub fn forget(&mut self, name: &str) {
+        self.figures.values_mut().for_each(|all| all.retain(|origin, _| origin.name != name));
+        self.figures.retain(|_, all| !all.is_empty());
+    }
+}
+
+/// How much a figure counts, 0 to 1: by its samples, its age, its way and its teacher's standing.
+pub fn weight(now: f64, subject: &Subject, figure: &Figure) -> f64 {
+    let samples = f64::from(figure.count);
+    let sure = samples / (samples + HALF_SURE);
+    let fresh = 0.5_f64.powf((now - figure.seen).max(0.0) / subject.half_life());
+    let way = 0.5_f64.powi(i32::from(figure.hops.saturating_sub(1)));
+    sure * fresh * way * figure.standing.trust()
+}
--- /dev/null
+++ b/crates/merlinshelf-knowledge/src/fact.rs
@@ -0,0 +1,189 @@
+//! One figure: of what, how much, from how many samples, how old, seen by whom.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Who has seen it: an instance in one of its lives. A restart or an upgrade begins another life.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    pub name: String,
+    pub life: u64,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        write!(out, "{}/{}", self.name, self.life)
+    }
+}
+
+/// What a figure is of. Names are those of the settings.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// Seconds that a run of an operation takes at the least, and lately. They hold for engines of one kind only.
+    RunLowest {
+        engine: String,
+        operation: String,
+    },
+    RunRecent {
+        engine: String,
+        operation: String,
+    },
+    /// The adaptive limit of invocations in hand.
+    Limit {
+        engine: String,
+    },
+    /// Seconds that a call below takes at the least, and lately; calls at once that it bears; failures in a row. They hold
+    /// for all that share the dependency.
+    CallLowest {
+        dependency: String,
+    },
+    CallRecent {
+        dependency: String,
+    },
+    CallLimit {
+        dependency: String,
+    },
+    CallFailures {
+        dependency: String,
+    },
+}
+
+impl Subject {
+    /// What such a figure can be at all: others are a fault or a lie.
+    fn bounds(&self) -> (f64, f64) {
+        match self {
+            // A run or call of under ten microseconds or over ten minutes is none.
+            Subject::RunLowest { .. }
+            | Subject::RunRecent { .. }
+            | Subject::CallLowest { .. }
+            | Subject::CallRecent { .. } => (1e-5, 600.0),
+            // No process holds more than its descriptors and memory allow.
+            Subject::Limit { .. } | Subject::CallLimit { .. } => (0.01, 20_000.0),
+            Subject::CallFailures { .. } => (0.0, 1e6),
+        }
+    }
+
+    /// After how many seconds a figure tells half as much. What a server can do at best changes with its releases, what it
+    /// does lately with the minute, and whether it fails with the second.
+    pub fn half_life(&self) -> f64 {
+        match self {
+            Subject::RunLowest { .. } | Subject::CallLowest { .. } => 600.0,
+            Subject::RunRecent { .. } | Subject::Limit { .. } => 60.0,
+            Subject::CallRecent { .. } | Subject::CallLimit { .. } => 20.0,
+            Subject::CallFailures { .. } => 2.0,
+        }
+    }
+
+    fn names(&self) -> impl Iterator<Item = &str> {
+        let (first, second) = match self {
+            Subject::RunLowest { engine, operation } | Subject::RunRecent { engine, operation } => {
+                (engine, Some(operation))
+            }
+            Subject::Limit { engine } => (engine, None),
+            Subject::CallLowest { dependency }
+            | Subject::CallRecent { dependency }
+            | Subject::CallLimit { dependency }
+            | Subject::CallFailures { dependency } => (dependency, None),
+        };
+        std::iter::once(first).chain(second).map(String::as_str)
+    }
+}
+
+/// How a teacher stood when it told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    #[default]
+    Steady,
+    /// Cold, its breaker open, or taken back a moment ago: what it sees is its own recovery.
+    Recovering,
+    /// It knows what it was told itself, and little of its own.
+    JustTaught,
+    Leaving,
+}
+
+impl Standing {
+    /// How much of a figure's weight counts. Leaving says nothing of what was seen before.
+    pub fn trust(self) -> f64 {
+        match self {
+            Standing::Steady | Standing::Leaving => 1.0,
+            Standing::Recovering => 0.25,
+            Standing::JustTaught => 0.1,
+        }
+    }
+}
+
+/// A figure as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figure {
+    pub value: f64,
+    pub count: u32,
+    /// When it was seen, by the reader's clock.
+    pub seen: f64,
+    /// The origin's own number of it: each look of an origin has another, later ones higher ones.
+    pub number: u64,
+    /// Over how many others it came: 0 is seen here.
+    pub hops: u8,
+    pub standing: Standing,
+}
+
+/// A figure as it passes between instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub subject: Subject,
+    pub origin: Origin,
+    pub value: f64,
+    pub count: u32,
+    /// Seconds since it was seen, by the clocks of all that it came over.
+    pub age: f64,
+    pub number: u64,
+    pub hops: u8,
+    pub standing: Standing,
+}
+
+/// Why a told figure is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unbelievable {
+    /// No number, or one that such a figure can't have.
+    Value,
+    /// In the future, no number, or older than anything that is kept.
+    Age,
+    /// From nothing, or from more than any instance has seen.
+    Count,
+    /// Over more hops than figures are passed on.
+    Hops,
+    /// This instance's own, on its way back.
+    Echo,
+    /// A name that is empty or too long.
+    Name,
+}
+
+/// Nothing older counts for anything: several half-lives of the longest.
+pub const AGE_MOST: f64 = 3600.0;
+/// Figures are passed on once: who has seen it tells, who was told may tell once more.
+pub const HOPS_MOST: u8 = 2;
+const COUNT_MOST: u32 = 1_000_000;
+const NAME_MOST: usize = 64;
+
+impl Told {
+    /// Whether it can be true at all.
+    pub fn check(&self, own: &Origin) -> Result<(), Unbelievable> {
+        let (least, most) = self.subject.bounds();
+        let name = |name: &str| !name.is_empty() && name.len() <= NAME_MOST;
+        if !self.value.is_finite() || self.value < least || self.value > most {
+            Err(Unbelievable::Value)
+        } else if !self.age.is_finite() || !(0.0..=AGE_MOST).contains(&self.age) {
+            Err(Unbelievable::Age)
+        } else if self.count == 0 || self.count > COUNT_MOST {
+            Err(Unbelievable::Count)
+        } else if self.hops == 0 || self.hops > HOPS_MOST {
+            Err(Unbelievable::Hops)
+        } else if self.origin == *own {
+            Err(Unbelievable::Echo)
+        } else if !name(&self.origin.name) || !self.subject.names().all(name) {
+            Err(Unbelievable::Name)
+        } else {
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/merlinshelf-knowledge/src/log.rs
@@ -0,0 +1,106 @@
+//! The form in which a book is kept: a head, then records, each whole or not at all.
+//!
+//! The head is `MSK1` and the form's number (u32, little endian). A record is its length (u32), the CRC-32 of what follows,
+//! and so many bytes of a told figure in MessagePack, its age as of a wall clock's moment. Whatever is torn, garbled or
+//! foreign is told and ends the reading there; what came before it counts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fact::Told;
+
+const HEAD: [u8; 8] = *b"MSK1\x01\0\0\0";
+/// A told figure is a fraction of it.
+const RECORD_MOST: usize = 4096;
+
+/// A figure as it is written: `at` is when, in seconds of Unix time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    pub at: f64,
+    pub told: Told,
+}
+
+/// Why reading ended before the end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// The file is of another program, or of a later form.
+    Foreign,
+    /// The last record was being written when its writer ended.
+    Torn,
+    /// A record's bytes are not what was written.
+    Garbled,
+}
+
+/// What a file held: the figures that can be read, how many bytes these are, and the flaw behind them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recovered {
+    pub kept: Vec<Kept>,
+    pub used: usize,
+    pub flaw: Option<Flaw>,
+}
+
+/// The head of a new file.
+pub fn head() -> Vec<u8> {
+    HEAD.to_vec()
+}
+
+/// One record.
+pub fn record(kept: &Kept) -> Vec<u8> {
+    let bytes = rmp_serde::to_vec_named(kept).unwrap_or_default();
+    let mut out = (bytes.len() as u32).to_le_bytes().to_vec();
+    out.extend(crc32fast::hash(&bytes).to_le_bytes());
+    out.extend(bytes);
+    out
+}
+
+/// Reads a file as far as it can be read. An empty one is new, and no flaw.
+pub fn recover(bytes: &[u8]) -> Recovered {
+    let mut recovered = Recovered { kept: Vec::new(), used: 0, flaw: None };
+    if bytes.is_empty() {
+        return recovered;
+    }
+    if !bytes.starts_with(&HEAD) {
+        let torn = HEAD.starts_with(bytes);
+        recovered.flaw = Some(if torn { Flaw::Torn } else { Flaw::Foreign });
+        return recovered;
+    }
+    recovered.used = HEAD.len();
+    while recovered.used < bytes.len() {
+        match one(&bytes[recovered.used..]) {
+            Ok((kept, count)) => {
+                recovered.kept.push(kept);
+                recovered.used += count;
+            }
+            Err(flaw) => {
+                recovered.flaw = Some(flaw);
+                break;
+            }
+        }
+    }
+    recovered
+}
+
+fn one(bytes: &[u8]) -> Result<(Kept, usize), Flaw> {
+    let number = |at: usize| {
+        let four = bytes.get(at..at + 4).and_then(|four| four.try_into().ok());
+        four.map(u32::from_le_bytes).ok_or(Flaw::Torn)
+    };
+    let (length, sum) = (number(0)? as usize, number(4)?);
+    if length == 0 || length > RECORD_MOST {
+        return Err(Flaw::Garbled);
+    }
+    let record = bytes.get(8..8 + length).ok_or(Flaw::Torn)?;
+    if crc32fast::hash(record) != sum {
+        return Err(Flaw::Garbled);
+    }
+    let kept = rmp_serde::from_slice(record).map_err(|_| Flaw::Garbled)?;
+    Ok((kept, 8 + length))
+}
+
+impl Kept {
+    /// The figure as a teacher of now would tell it: its age by the wall clock, where that makes sense. A clock that went
+    /// back since makes it no younger than it was.
+    pub fn told_at(self, unix: f64) -> Told {
+        let since = (unix - self.at).max(0.0);
+        Told { age: self.told.age + since, ..self.told }
+    }
+}
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -93,6 +93,9 @@
         /// The share of rounds whose successor fails
         #[arg(long, default_value_t = 0.5)]
         fail: f64,
+        /// Let none of them hang
+        #[arg(long)]
+        no_hangs: bool,
         /// Invocations a second
         #[arg(long, default_value_t = 2000.0)]
         rate: f64,
@@ -151,11 +154,19 @@
             local.block_on(&runtime, trial::restart::run(&plan)).map(|(_, clean)| clean)
         }
         Command::Trial {
-            trial: Trial::Upgrade { seed, rounds, fail, rate, connections, watched_ms, json, program },
+            trial:
+                Trial::Upgrade { seed, rounds, fail, no_hangs, rate, connections, watched_ms, json, program },
         } => {
             let setup = setup(found(program)?, 64, Duration::from_millis(watched_ms));
-            let plan =
-                trial::upgrade::Plan { seed, rounds, fail: fail.clamp(0.0, 1.0), rate, connections, setup };
+            let plan = trial::upgrade::Plan {
+                seed,
+                rounds,
+                fail: fail.clamp(0.0, 1.0),
+                hangs: !no_hangs,
+                rate,
+                connections,
+                setup,
+            };
             println!(
                 "{rounds} upgrades by seed {seed}, {fail} of them failing, at {rate} invocations a second\n"
             );
--- a/crates/merlinshelf-lab/src/trial/upgrade.rs
+++ b/crates/merlinshelf-lab/src/trial/upgrade.rs
@@ -20,6 +20,8 @@
     pub rounds: u32,
     /// The share of rounds whose successor fails.
     pub fail: f64,
+    /// Whether some of these hang rather than die: nobody serves until that is found.
+    pub hangs: bool,
     pub rate: f64,
     pub connections: usize,
     pub setup: Setup,
@@ -42,7 +44,7 @@
 }
 
 impl Fate {
-    fn draw(rng: &mut Pcg64Mcg, fail: f64, watched_ms: u64) -> Fate {
+    fn draw(rng: &mut Pcg64Mcg, fail: f64, hangs: bool, watched_ms: u64) -> Fate {
         if !rng.random_bool(fail) {
             return Fate::Succeeds;
         }
@@ -54,7 +56,8 @@
             4 | 5 => Fate::KilledEarly(rng.random_range(0..40)),
             6 | 7 => Fate::Killed(500),
             8..=10 => Fate::Killed(rng.random_range(0..watched_ms * 9 / 10)),
-            _ => Fate::Stopped(rng.random_range(0..watched_ms / 2)),
+            _ if hangs => Fate::Stopped(rng.random_range(0..watched_ms / 2)),
+            _ => Fate::Killed(500),
         }
     }
 
@@ -103,7 +106,7 @@
     let mut rounds = Vec::new();
     let (mut memory, mut descriptors) = (0, 0);
     for number in 0..plan.rounds {
-        let fate = Fate::draw(&mut rng, plan.fail, plan.setup.watched.as_millis() as u64);
+        let fate = Fate::draw(&mut rng, plan.fail, plan.hangs, plan.setup.watched.as_millis() as u64);
         let round = upgrade(&instance, &plan.setup, fate).await?;
         println!("round {:>3}  {:<28} {}", number + 1, format!("{fate:?}"), round.ended);
         rounds.push(round);
