Play the old process's death and a break of the engine's link in the freeze itself

Both were covered by scripts and while watched only. A successor that pauses before it has taken everything (debug builds) leaves the time: the old process's death there leaves it serving alone with everything, before that it ends; a link that breaks meanwhile is taken up with its number and nothing runs twice.

--- a/crates/merlinshelf-backend/src/fault.rs
+++ b/crates/merlinshelf-backend/src/fault.rs
@@ -1,7 +1,7 @@
 //! Faults on demand, in debug builds and in successors alone: the tests let one die, end or hang at a named point.
 
-/// Fails here if `MERLINSHELF_FAULT` says so: `POINT:TIMES:HOW`, at that pass of the point; `how` is `abort`, `exit` or
-/// `hang`.
+/// Fails here if `MERLINSHELF_FAULT` says so: `POINT:TIMES:HOW`, at that pass of the point; `how` is `abort`, `exit`,
+/// `hang`, or `pause` for half a second.
 #[cfg(debug_assertions)]
 pub fn point(name: &str) {
     use std::sync::OnceLock;
@@ -22,6 +22,7 @@
     match how.as_str() {
         "abort" => std::process::abort(),
         "exit" => std::process::exit(3),
+        "pause" => std::thread::sleep(std::time::Duration::from_millis(500)),
         _ => loop {
             std::thread::sleep(std::time::Duration::from_secs(1));
         },
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -30,6 +30,11 @@
 }
 
 fn upgradable(watched_ms: u64, changes: &[(&str, &str)]) -> Upgradable {
+    upgradable_to(watched_ms, changes, "")
+}
+
+/// The same with a successor that fails so.
+fn upgradable_to(watched_ms: u64, changes: &[(&str, &str)], fault: &str) -> Upgradable {
     static TAKEN: AtomicUsize = AtomicUsize::new(0);
     let number = TAKEN.fetch_add(1, Ordering::SeqCst);
     let folder = std::env::temp_dir().join(format!("merlinshelf-{}-handover-{number}", std::process::id()));
@@ -40,7 +45,8 @@
     );
     let operator = folder.join("operator.json5");
     std::fs::write(&operator, text).expect("a file");
-    let variables = [("MERLINSHELF_OPERATOR", operator.to_str().expect("text"))];
+    let variables =
+        [("MERLINSHELF_OPERATOR", operator.to_str().expect("text")), ("MERLINSHELF_FAULT", fault)];
     Upgradable { rig: Rig::with(PROGRAM, 1024, changes, &variables), folder }
 }
 
@@ -174,6 +180,29 @@
     assert_snapshot!(trace);
 }
 
+#[test]
+fn a_link_that_breaks_in_the_freeze_is_taken_up_with_its_number() {
+    let play = upgradable_to(300, &[], "heir.taken:1:pause");
+    let (mut engine, mut edge) = (play.rig.engine(), play.rig.edge());
+    edge.send(ask(1, "transcript-search", b"one", &[]));
+    let mut trace = engine.message() + "\n";
+    engine.send(format!("DONE 1 {} OK 9 3\r\none\r\n", id(1)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    edge.send(ask(2, "transcript-search", b"two", &[]));
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.questions(2);
+    let mut tool = play.upgrade_to("ready");
+    // Nobody reads for half a second.
+    engine.send("WHAT\r\n");
+    let mut engine = Peer::accept(&play.rig.engine);
+    let _ = writeln!(trace, "{}", engine.message());
+    engine.send(format!("HELLO WARM 9000\r\nDONE 2 {} OK 9 3\r\ntwo\r\n", id(2)));
+    let _ = writeln!(trace, "{}", edge.answer());
+    engine.questions(3); // and no second RUN
+    assert!(tool.wait().expect("an end").success());
+    assert_snapshot!(trace);
+}
+
 #[test]
 fn a_full_table_and_who_waits_behind_it_pass_too() {
     let play = upgradable(300, &[("\"sockets\": 1024", "\"sockets\": 64")]);
--- a/crates/merlinshelf-cli/tests/upgrade.rs
+++ b/crates/merlinshelf-cli/tests/upgrade.rs
@@ -274,6 +274,34 @@
     });
 }
 
+#[test]
+fn the_old_processs_death_before_the_word_to_go_on_is_survived_with_everything_in_hand_alone() {
+    play(async {
+        // It has been passed everything and is about to say so.
+        let (instance, load, playing) = begin(&setup(), 52).await?;
+        instance.successor_is(&format!("export MERLINSHELF_FAULT=heir.taken:1:pause\n{}", good()))?;
+        let mut talk = instance.ask(Question::Upgrade).await?;
+        while talk.next().await?.1["stage"] != "ready" {}
+        sleep(ms(250)).await;
+        signal(instance.processes()[0], Signal::KILL);
+        let verdict = check(&instance, &load, playing).await;
+        assert!(verdict.is_clean() && verdict.served > 20, "{verdict:?}\n{}", instance.log());
+        assert_eq!(
+            instance.status().await?["process"].as_u64(),
+            instance.values("successor").last().copied()
+        );
+        // It has been passed nothing yet: there is nothing to serve, and it ends.
+        let (instance, ..) = begin(&setup(), 53).await?;
+        instance.successor_is(&format!("export MERLINSHELF_FAULT=heir.ready:1:pause\n{}", good()))?;
+        let mut talk = instance.ask(Question::Upgrade).await?;
+        assert_eq!(talk.next().await?.1["stage"], "starting");
+        instance.logged("the successor", 1).await?;
+        sleep(ms(100)).await;
+        signal(instance.processes()[0], Signal::KILL);
+        instance.logged("the old process is gone", 1).await
+    });
+}
+
 #[test]
 fn a_stuck_or_garbled_tool_costs_nothing() {
     play(async {
