--- a/crates/merlinshelf-backend/src/fault.rs
+++ b/crates/merlinshelf-backend/src/fault.rs
@@ -19,6 +19,7 @@
     if point != name || PASSED.fetch_add(1, Ordering::Relaxed) + 1 != *times {
         return;
     }
+    eprintln!("fault {name}"); // what a test waits for
     match how.as_str() {
         "abort" => std::process::abort(),
         "exit" => std::process::exit(3),
--- a/crates/merlinshelf-cli/tests/upgrade.rs
+++ b/crates/merlinshelf-cli/tests/upgrade.rs
@@ -282,7 +282,7 @@
         instance.successor_is(&format!("export MERLINSHELF_FAULT=heir.taken:1:pause\n{}", good()))?;
         let mut talk = instance.ask(Question::Upgrade).await?;
         while talk.next().await?.1["stage"] != "ready" {}
-        sleep(ms(250)).await;
+        instance.logged("fault heir.taken", 1).await?;
         signal(instance.processes()[0], Signal::KILL);
         let verdict = check(&instance, &load, playing).await;
         assert!(verdict.is_clean() && verdict.served > 20, "{verdict:?}\n{}", instance.log());
@@ -295,8 +295,7 @@
         instance.successor_is(&format!("export MERLINSHELF_FAULT=heir.ready:1:pause\n{}", good()))?;
         let mut talk = instance.ask(Question::Upgrade).await?;
         assert_eq!(talk.next().await?.1["stage"], "starting");
-        instance.logged("the successor", 1).await?;
-        sleep(ms(100)).await;
+        instance.logged("fault heir.ready", 1).await?;
         signal(instance.processes()[0], Signal::KILL);
         instance.logged("the old process is gone", 1).await
     });
