Make one load for all trials, one reader who stands still for both tests, drop a wrapper

Three trials, the demo and a test built the same load by hand, two tests asked until the program stalled in the same words, and instance::listen only called server::listen.

--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -25,7 +25,7 @@
 use crate::counters;
 use crate::exchange::{Exchange, Passed, Passing, monotonic};
 use crate::fault;
-use crate::instance::{Instance, Prepared, listen};
+use crate::instance::{Instance, Prepared};
 use crate::journal::Journal;
 use crate::logger;
 use crate::operator::Operator;
@@ -196,7 +196,7 @@
                 let taken = format!("control: {}: another process listens there", settings.socket.display());
                 return Err(io::Error::new(io::ErrorKind::AddrInUse, taken));
             }
-            let listener = listen(self.config.listen)?;
+            let listener = server::listen(self.config.listen)?;
             info!("{} listens on {}", self.config.name, self.config.listen);
             self.instance = Some(Prepared::fresh(exchange, listener).go(&self.config, self.peers));
             self.open_control()?;
--- a/crates/merlinshelf-backend/src/instance.rs
+++ b/crates/merlinshelf-backend/src/instance.rs
@@ -3,7 +3,6 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -302,8 +301,3 @@
     let stream = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
     stream.map_err(|error| warn!("a connection can't be gone on with: {error}")).ok()
 }
-
-/// Where a fresh instance listens.
-pub fn listen(address: SocketAddr) -> io::Result<Listening> {
-    server::listen(address)
-}
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -6,12 +6,11 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread::sleep;
 use std::time::Instant;
 
 use insta::assert_snapshot;
 use merlinshelf_lab::instance::signal;
-use merlinshelf_lab::script::{PATIENCE, Peer, Rig, bind, millis, serve_all};
+use merlinshelf_lab::script::{PATIENCE, Peer, Rig, ask_until_stalled, bind, serve_all};
 use merlinshelf_lab::wire::{ask, id};
 use rustix::process::Signal;
 
@@ -252,22 +251,7 @@
     let (engine, mut slow) = (play.rig.engine(), play.rig.edge());
     let result = "r".repeat(4000);
     let answered = serve_all(engine, &result);
-    // 32 at a time, never read, until the program reads no more of them: all between is full then, its own ring too.
-    let mut sent = 0;
-    let stalled = |sent: usize| {
-        let until = Instant::now() + millis(500);
-        while answered.load(Ordering::SeqCst) < sent && Instant::now() < until {
-            sleep(millis(1));
-        }
-        answered.load(Ordering::SeqCst) < sent
-    };
-    while !stalled(sent) {
-        for _ in 0..32 {
-            sent += 1;
-            slow.send(ask(sent as u16, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "60000")]));
-        }
-        assert!(sent < 32 * 200, "it reads on and on");
-    }
+    let sent = ask_until_stalled(&mut slow, &answered);
     assert!(play.upgrade_to("done").wait().expect("an end").success());
     let mut tags = Vec::new();
     for _ in 0..sent {
--- a/crates/merlinshelf-cli/tests/serving.rs
+++ b/crates/merlinshelf-cli/tests/serving.rs
@@ -4,12 +4,13 @@
 use std::io::{ErrorKind, Write};
 use std::net::TcpListener;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use insta::assert_snapshot;
-use merlinshelf_lab::script::{PATIENCE, Peer, Rig, bind, configuration, millis, program, serve_all};
+use merlinshelf_lab::script::{
+    PATIENCE, Peer, Rig, ask_until_stalled, bind, configuration, millis, program, serve_all,
+};
 use merlinshelf_lab::wire::{ask, id, record, unix_ms};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -371,22 +372,7 @@
     let (engine, mut slow, mut edge) = (rig.engine(), rig.edge(), rig.edge());
     let result = "r".repeat(4096);
     let answered = serve_all(engine, &result);
-    // 32 at a time, never read, until the program reads no more of them: all between is full then.
-    let mut sent = 0;
-    let stalled = |sent: usize| {
-        let until = Instant::now() + millis(500);
-        while answered.load(Ordering::SeqCst) < sent && Instant::now() < until {
-            sleep(millis(1));
-        }
-        answered.load(Ordering::SeqCst) < sent
-    };
-    while !stalled(sent) {
-        for _ in 0..32 {
-            sent += 1;
-            slow.send(ask(sent as u16, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "60000")]));
-        }
-        assert!(sent < 32 * 200, "it reads on and on");
-    }
+    let sent = ask_until_stalled(&mut slow, &answered);
     let asked = Instant::now();
     edge.send(ask(65535, "transcript-search", b"", &[]));
     assert!(edge.answer().ends_with(&result));
--- a/crates/merlinshelf-cli/tests/upgrade.rs
+++ b/crates/merlinshelf-cli/tests/upgrade.rs
@@ -37,9 +37,7 @@
 }
 
 fn load(instance: &Instance, seed: u64) -> Load {
-    let operations = ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec();
-    let address = instance.address.clone();
-    Load { address, connections: 12, rate: 120.0, operations, body: 90, patience: ms(4000), seed }
+    Load { body: 90, ..Load::of_all(&instance.address, 12, 120.0, seed) }
 }
 
 async fn begin(setup: &Setup, number: u8) -> io::Result<(Instance, Load, Playing)> {
--- a/crates/merlinshelf-lab/src/demo.rs
+++ b/crates/merlinshelf-lab/src/demo.rs
@@ -13,15 +13,7 @@
 pub async fn run(setup: &Setup) -> io::Result<bool> {
     let mut instance = Instance::start(setup, 2).await?;
     println!("the program serves at {}, process {}", instance.address, instance.status().await?["process"]);
-    let load = Load {
-        address: instance.address.clone(),
-        connections: 20,
-        rate: 300.0,
-        operations: ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec(),
-        body: 60,
-        patience: Duration::from_secs(4),
-        seed: 1,
-    };
+    let load = Load { body: 60, ..Load::of_all(&instance.address, 20, 300.0, 1) };
     let playing = load.start().await?;
     println!("20 connections send {} invocations a second", load.rate);
     sleep(Duration::from_secs(1)).await;
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -85,6 +85,13 @@
 }
 
 impl Load {
+    /// The load of the trials: all operations of the example alike, two thirds of which call below.
+    pub fn of_all(address: &str, connections: usize, rate: f64, seed: u64) -> Load {
+        let operations = ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec();
+        let (address, patience) = (address.to_owned(), Duration::from_secs(4));
+        Load { address, connections, rate, operations, body: 120, patience, seed }
+    }
+
     /// Opens the connections and sends until told to stop; then waits for what is open.
     pub async fn start(&self) -> io::Result<Playing> {
         let seen = Shared::default();
--- a/crates/merlinshelf-lab/src/script/engine.rs
+++ b/crates/merlinshelf-lab/src/script/engine.rs
@@ -2,8 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::Instant;
 
+use super::millis;
 use super::peer::Peer;
+use crate::wire::ask;
 
 /// Lets the engine answer every run at once, and counts them.
 pub fn serve_all(mut engine: Peer, result: &str) -> Arc<AtomicUsize> {
@@ -22,3 +26,24 @@
     });
     answered
 }
+
+/// Asks on a connection that is never read, 32 at a time, until the program reads no more of it: all between is full
+/// then. How many were asked for.
+pub fn ask_until_stalled(slow: &mut Peer, answered: &AtomicUsize) -> usize {
+    let mut sent = 0;
+    let stalled = |sent: usize| {
+        let until = Instant::now() + millis(500);
+        while answered.load(Ordering::SeqCst) < sent && Instant::now() < until {
+            sleep(millis(1));
+        }
+        answered.load(Ordering::SeqCst) < sent
+    };
+    while !stalled(sent) {
+        for _ in 0..32 {
+            sent += 1;
+            slow.send(ask(sent as u16, "transcript-search", b"", &[("HTTP_X_PATIENCE_MS", "60000")]));
+        }
+        assert!(sent < 32 * 200, "it reads on and on");
+    }
+    sent
+}
--- a/crates/merlinshelf-lab/src/script/mod.rs
+++ b/crates/merlinshelf-lab/src/script/mod.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-pub use engine::serve_all;
+pub use engine::{ask_until_stalled, serve_all};
 pub use peer::Peer;
 pub use rig::{EXAMPLE, Rig, bind, configuration, free_address, program};
 
--- a/crates/merlinshelf-lab/src/trial/cost.rs
+++ b/crates/merlinshelf-lab/src/trial/cost.rs
@@ -23,15 +23,7 @@
 async fn play(plan: &Plan, program: &Path, seed: u64) -> io::Result<(f64, u64)> {
     let setup = Setup { program: program.into(), ..plan.setup.clone() };
     let mut instance = Instance::start(&setup, 3).await?;
-    let load = Load {
-        address: instance.address.clone(),
-        connections: 100,
-        rate: plan.rate,
-        operations: ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec(),
-        body: 120,
-        patience: Duration::from_secs(4),
-        seed,
-    };
+    let load = Load::of_all(&instance.address, 100, plan.rate, seed);
     let playing = load.start().await?;
     sleep(Duration::from_millis(700)).await;
     let (before, sent) = (instance.cpu()?, playing.seen.borrow().sent.len());
--- a/crates/merlinshelf-lab/src/trial/restart.rs
+++ b/crates/merlinshelf-lab/src/trial/restart.rs
@@ -27,15 +27,7 @@
     let program = if upgrades { &plan.setup.program } else { &plan.against };
     let setup = Setup { program: program.clone(), ..plan.setup.clone() };
     let mut instance = Instance::start(&setup, 4).await?;
-    let load = Load {
-        address: instance.address.clone(),
-        connections: 100,
-        rate: plan.rate,
-        operations: ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec(),
-        body: 120,
-        patience: Duration::from_secs(4),
-        seed: plan.seed,
-    };
+    let load = Load::of_all(&instance.address, 100, plan.rate, plan.seed);
     let playing = load.start().await?;
     sleep(Duration::from_secs(2)).await;
     let from = Instant::now();
--- a/crates/merlinshelf-lab/src/trial/upgrade.rs
+++ b/crates/merlinshelf-lab/src/trial/upgrade.rs
@@ -91,15 +91,7 @@
 pub async fn run(plan: &Plan) -> io::Result<(Value, bool)> {
     let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
     let mut instance = Instance::start(&plan.setup, 1).await?;
-    let load = Load {
-        address: instance.address.clone(),
-        connections: plan.connections,
-        rate: plan.rate,
-        operations: ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec(),
-        body: 120,
-        patience: Duration::from_secs(4),
-        seed: plan.seed,
-    };
+    let load = Load::of_all(&instance.address, plan.connections, plan.rate, plan.seed);
     let playing = load.start().await?;
     sleep(Duration::from_millis(1500)).await;
     let before = instance.status().await?;
