Tell the one who watches of a notice to leave before anything shows of it

A successor told to leave logged and began to leave before its word went to the predecessor; killed between the two, the predecessor took everything back and served on though the notice had been heeded. The heir now says the word first and leaves then, as one order of steps.

--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -331,10 +331,7 @@
     fn told_to_leave(&mut self) -> Option<i32> {
         let stop = monotonic() + self.config.stop.as_secs_f64();
         match &mut self.heir {
-            Some(heir) if heir.owns() => {
-                heir.left(stop);
-                self.leave(stop);
-            }
+            Some(heir) if heir.owns() => heir.left(stop),
             // The predecessor sees its end and goes on.
             Some(_) => return Some(1),
             None => self.keeper.leave(stop),
--- a/crates/merlinshelf-cli/tests/upgrade.rs
+++ b/crates/merlinshelf-cli/tests/upgrade.rs
@@ -226,8 +226,12 @@
     let seen = playing.stop().await;
     let verdict = seen.borrow().check(&instance.records.borrow(), load.patience);
     assert!(verdict.is_clean(), "{stage}: {verdict:?}\n{}", instance.log());
-    let status = instance.first_ended().await?;
-    assert_eq!(status, Some(0), "{stage}\n{}", instance.log());
+    let status = match instance.first_ended().await {
+        Ok(status) => status,
+        Err(error) => panic!("{number} {stage}: it does not end: {error}\n{}", instance.log()),
+    };
+    let all = (processes, instance.processes());
+    assert_eq!(status, Some(0), "{number} {stage} {all:?}\n{}", instance.log());
     // On a busy machine it may be seen late.
     assert!(noticed.elapsed() < ms(4000), "{stage}: {:?}", noticed.elapsed());
     Ok(())
--- a/crates/merlinshelf-handover/src/heir.rs
+++ b/crates/merlinshelf-handover/src/heir.rs
@@ -166,13 +166,15 @@
         }
     }
 
-    /// This process itself was told to leave.
+    /// This process itself was told to leave. The one who watches hears of it before anything else does: whoever saw this
+    /// process leave finds it leaving after its death, too.
     pub fn left(&mut self, stop: Moment) {
-        if !self.leaves {
+        if !self.leaves && self.owns() {
             self.leaves = true;
             if matches!(self.state, State::Watched { .. }) {
                 self.steps.push_back(Step::Say(Word::Leaves { stop }));
             }
+            self.steps.push_back(Step::Leave { stop });
         }
     }
 
