Give the module a door for beliefs; write learner, store and teaching protocol without input or output

The module takes beliefs on the word of others: limits start from them, durations count as three samples at most beside fewer than eight own ones, a breaker that is open elsewhere makes the first call a trial.

--- a/crates/merlinshelf-backend/src/operator.rs
+++ b/crates/merlinshelf-backend/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' own file: what is switched on beside the platform's configuration. Without it all of this is off.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
     /// Upgrades under load; absent: turned down.
     #[garde(dive)]
     pub upgrade: Option<Upgrade>,
+    /// Learning from other instances and from one's own past; absent: off.
+    #[garde(dive)]
+    pub learning: Option<Learning>,
 }
 
 /// The control socket.
@@ -141,6 +145,79 @@
     }
 }
 
+/// Learning: from whom, about what, and where it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Learning {
+    /// The kind of the engine's machine: what is known of engines holds for those of one kind only. Absent: what was seen
+    /// of the engine is this instance's own, for its own file alone.
+    #[garde(inner(length(min = 1, max = 64)))]
+    #[schemars(length(min = 1, max = 64))]
+    pub engine: Option<String>,
+    /// The name of the dependency below; what is known of it holds for all instances that name it alike.
+    #[garde(length(min = 1, max = 64))]
+    #[schemars(length(min = 1, max = 64))]
+    pub dependency: String,
+    /// The folder in which what is known outlives the process; absent: it does not.
+    #[garde(skip)]
+    pub folder: Option<PathBuf>,
+    /// Between two savings, in milliseconds.
+    #[garde(range(min = 100, max = 600_000))]
+    #[schemars(range(min = 100, max = 600_000))]
+    pub save_ms: u64,
+    /// Share of one core that teaching others may take.
+    #[garde(range(min = 0.0, max = 0.5))]
+    #[schemars(range(min = 0.0, max = 0.5))]
+    pub share: f64,
+    /// Who teaches whom; absent: nobody is asked and nobody is taught.
+    #[garde(dive)]
+    pub peers: Option<PeersOfLearning>,
+}
+
+/// Other instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct PeersOfLearning {
+    /// The address at which others ask this one: on the loopback interface, since nothing is encrypted yet.
+    #[garde(custom(loopback))]
+    pub listen: String,
+    /// Addresses of some others, from which all are found.
+    #[garde(length(max = 64), inner(custom(loopback)))]
+    #[schemars(length(max = 64))]
+    #[serde(default)]
+    pub seeds: Vec<String>,
+}
+
+impl Default for Learning {
+    fn default() -> Learning {
+        Learning {
+            engine: None,
+            dependency: "catalogue".into(),
+            folder: None,
+            save_ms: 5_000,
+            share: 0.01,
+            peers: None,
+        }
+    }
+}
+
+impl Learning {
+    pub fn save_every(&self) -> Duration {
+        Duration::from_millis(self.save_ms)
+    }
+}
+
+fn loopback(text: &str, (): &()) -> garde::Result {
+    match text.parse::<SocketAddr>() {
+        Ok(address) if address.ip().is_loopback() && address.port() > 0 => Ok(()),
+        Ok(address) if address.port() == 0 => Err(garde::Error::new(format!("{text:?} names no port"))),
+        Ok(_) => Err(garde::Error::new(format!(
+            "{text:?} is no loopback address; what instances tell each other is not encrypted yet, and only these are allowed"
+        ))),
+        Err(_) => Err(garde::Error::new(format!("{text:?} is no address with a port, like 127.0.0.1:7400"))),
+    }
+}
+
 fn path_of_socket(path: &Path, (): &()) -> garde::Result {
     let length = path.as_os_str().len();
     if length == 0 {
@@ -229,6 +306,8 @@
         let operator = Operator::read(EXAMPLE).expect("the example can be read");
         let upgrade = operator.upgrade.expect("it switches upgrades on");
         assert_eq!((upgrade.watched_ms, upgrade.silent_ms), (2_000, 1_000));
+        let learning = operator.learning.expect("it switches learning on");
+        assert_eq!(learning.peers.expect("peers").seeds.len(), 2);
         assert_eq!(Operator::read("{}"), Ok(Operator::default()));
         // `merlinshelf check --schema > deploy/operator.schema.json` makes it anew.
         assert_eq!(Operator::schema(), include_str!("../../../deploy/operator.schema.json"));
@@ -247,6 +326,11 @@
             "{log: {level: 3}}",
             &long,
             "{upgrade: {descriptors: 3}}",
+            "{learning: {share: 0.9}}",
+            "{learning: {engine: ''}}",
+            "{learning: {peers: {listen: '10.0.0.1:7400'}}}",
+            "{learning: {\n peers: {listen: '127.0.0.1:7400',\n seeds: ['localhost']}}}",
+            "{learning: {peers: {listen: '127.0.0.1:0'}}}",
         ];
         let read = texts.map(|text| Operator::read(text).err().unwrap_or_default());
         insta::assert_snapshot!(read.join("\n"));
--- a/crates/merlinshelf-knowledge/src/book.rs
+++ b/crates/merlinshelf-knowledge/src/book.rs
@@ -11,6 +11,8 @@
 const SUBJECTS_MOST: usize = 512;
 /// So many samples make a figure half as sure as it can get.
 const HALF_SURE: f64 = 8.0;
+/// What weighs less is not believed at all.
+const COUNTS_FROM: f64 = 0.01;
 /// Own samples at which what was told counts for half at the most: a few.
 const FEW: f64 = 3.0;
 
@@ -57,8 +59,14 @@
         &self.own
     }
 
-    /// Something was seen here.
-    pub fn see(&mut self, now: f64, subject: Subject, value: f64, count: u32, standing: Standing) {
+    /// Something was seen here, a while ago. The same value of as many samples as before is the look before: where nothing
+    /// happens a figure grows old.
+    pub fn see(&mut self, now: f64, subject: Subject, value: f64, count: u32, age: f64, standing: Standing) {
+        let known = self.figures.get(&subject).and_then(|all| all.get(&self.own));
+        if known.is_some_and(|known| known.value == value && known.count == count) || !value.is_finite() {
+            return;
+        }
+        let now = now - age.max(0.0);
         self.number += 1;
         let figure = Figure { value, count, seen: now, number: self.number, hops: 0, standing };
         let own = self.own.clone();
@@ -111,8 +119,30 @@
         }
     }
 
-    /// What may be told to others: what was seen here, and once more what was told by who had seen it.
-    pub fn tell(&self, now: f64) -> Vec<Told> {
+    /// What may be told to others: what was seen here, and once more what was told by who had seen it. Of more than `most`
+    /// what counts most goes, and first what was seen here.
+    pub fn tell(&self, now: f64, most: usize) -> Vec<Told> {
+        let mut all = self.all(now);
+        if all.len() > most {
+            let counts = |told: &Told| {
+                let figure = Figure {
+                    value: told.value,
+                    count: told.count,
+                    seen: now - told.age,
+                    number: told.number,
+                    hops: told.hops,
+                    standing: told.standing,
+                };
+                weight(now, &told.subject, &figure) + f64::from(u8::from(told.origin == self.own))
+            };
+            all.sort_by(|a, b| counts(b).total_cmp(&counts(a)));
+            all.truncate(most);
+        }
+        all
+    }
+
+    /// All that may be told or kept.
+    pub fn all(&self, now: f64) -> Vec<Told> {
         let mut all = Vec::new();
         for (subject, figures) in &self.figures {
             for (origin, figure) in figures {
@@ -141,7 +171,7 @@
         let others = all.iter().filter(|(origin, _)| **origin != self.own);
         let mut weighed: Vec<(f64, f64, &Origin)> =
             others.map(|(origin, figure)| (figure.value, weight(now, subject, figure), origin)).collect();
-        weighed.retain(|(_, weight, _)| *weight > 0.01);
+        weighed.retain(|(_, weight, _)| *weight > COUNTS_FROM);
         weighed.sort_by(|a, b| a.0.total_cmp(&b.0));
         let whole: f64 = weighed.iter().map(|(_, weight, _)| weight).sum();
         let mut below = 0.0;
@@ -167,6 +197,24 @@
             .flat_map(|(subject, all)| all.iter().map(move |(origin, of)| (subject, origin, of)))
     }
 
+    /// How many of the figures that were told, by whose word, still count for something.
+    pub fn counting(&self, now: f64) -> BTreeMap<&Origin, usize> {
+        let mut counting = BTreeMap::new();
+        for (subject, origin, figure) in self.figures() {
+            if *origin != self.own && weight(now, subject, figure) > COUNTS_FROM {
+                *counting.entry(origin).or_default() += 1;
+            }
+        }
+        counting
+    }
+
+    /// Forgets all that others have seen.
+    pub fn forget_others(&mut self) {
+        let own = self.own.clone();
+        self.figures.values_mut().for_each(|all| all.retain(|origin, _| *origin == own));
+        self.figures.retain(|_, all| !all.is_empty());
+    }
+
     /// Forgets all that this origin has seen, in whatever life.
     pub fn forget(&mut self, name: &str) {
         self.figures.values_mut().for_each(|all| all.retain(|origin, _| origin.name != name));
--- a/crates/merlinshelf-knowledge/src/fact.rs
+++ b/crates/merlinshelf-knowledge/src/fact.rs
@@ -47,6 +47,14 @@
     CallFailures {
         dependency: String,
     },
+    /// Seconds that a run of an operation spends at calls below.
+    RunBelow {
+        dependency: String,
+        operation: String,
+    },
+    /// Share of the arrivals that are further tries, and of the callers that come back soon.
+    CallersAgain,
+    CallersBack,
 }
 
 impl Subject {
@@ -61,6 +69,8 @@
             // No process holds more than its descriptors and memory allow.
             Subject::Limit { .. } | Subject::CallLimit { .. } => (0.01, 20_000.0),
             Subject::CallFailures { .. } => (0.0, 1e6),
+            Subject::RunBelow { .. } => (0.0, 600.0),
+            Subject::CallersAgain | Subject::CallersBack => (0.0, 1.0),
         }
     }
 
@@ -70,23 +80,62 @@
         match self {
             Subject::RunLowest { .. } | Subject::CallLowest { .. } => 600.0,
             Subject::RunRecent { .. } | Subject::Limit { .. } => 60.0,
-            Subject::CallRecent { .. } | Subject::CallLimit { .. } => 20.0,
+            Subject::CallersAgain | Subject::CallersBack => 60.0,
+            Subject::CallRecent { .. } | Subject::CallLimit { .. } | Subject::RunBelow { .. } => 20.0,
             Subject::CallFailures { .. } => 2.0,
         }
     }
 
-    fn names(&self) -> impl Iterator<Item = &str> {
-        let (first, second) = match self {
+    /// Its kind in one word, as it stands on the wire and in reports.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Subject::RunLowest { .. } => "run-lowest",
+            Subject::RunRecent { .. } => "run-recent",
+            Subject::Limit { .. } => "limit",
+            Subject::CallLowest { .. } => "call-lowest",
+            Subject::CallRecent { .. } => "call-recent",
+            Subject::CallLimit { .. } => "call-limit",
+            Subject::CallFailures { .. } => "call-failures",
+            Subject::RunBelow { .. } => "run-below",
+            Subject::CallersAgain => "callers-again",
+            Subject::CallersBack => "callers-back",
+        }
+    }
+
+    /// The server that it is of, and the operation, as far as there are such.
+    pub fn names(&self) -> (Option<&str>, Option<&str>) {
+        match self {
             Subject::RunLowest { engine, operation } | Subject::RunRecent { engine, operation } => {
-                (engine, Some(operation))
+                (Some(engine), Some(operation))
             }
-            Subject::Limit { engine } => (engine, None),
+            Subject::RunBelow { dependency, operation } => (Some(dependency), Some(operation)),
+            Subject::Limit { engine } => (Some(engine), None),
             Subject::CallLowest { dependency }
             | Subject::CallRecent { dependency }
             | Subject::CallLimit { dependency }
-            | Subject::CallFailures { dependency } => (dependency, None),
+            | Subject::CallFailures { dependency } => (Some(dependency), None),
+            Subject::CallersAgain | Subject::CallersBack => (None, None),
+        }
+    }
+
+    /// The subject of a kind and names; none where they do not fit together.
+    pub fn of(kind: &str, server: Option<&str>, operation: Option<&str>) -> Option<Subject> {
+        let engine = || server.map(str::to_owned);
+        let (dependency, called) = (engine, || operation.map(str::to_owned));
+        let subject = match kind {
+            "run-lowest" => Subject::RunLowest { engine: engine()?, operation: called()? },
+            "run-recent" => Subject::RunRecent { engine: engine()?, operation: called()? },
+            "limit" => Subject::Limit { engine: engine()? },
+            "call-lowest" => Subject::CallLowest { dependency: dependency()? },
+            "call-recent" => Subject::CallRecent { dependency: dependency()? },
+            "call-limit" => Subject::CallLimit { dependency: dependency()? },
+            "call-failures" => Subject::CallFailures { dependency: dependency()? },
+            "run-below" => Subject::RunBelow { dependency: dependency()?, operation: called()? },
+            "callers-again" => Subject::CallersAgain,
+            "callers-back" => Subject::CallersBack,
+            _ => return None,
         };
-        std::iter::once(first).chain(second).map(String::as_str)
+        (subject.names() == (server, operation)).then_some(subject)
     }
 }
 
@@ -103,6 +152,21 @@
 }
 
 impl Standing {
+    /// In one word, as it stands on the wire and in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Standing::Steady => "steady",
+            Standing::Recovering => "recovering",
+            Standing::JustTaught => "just-taught",
+            Standing::Leaving => "leaving",
+        }
+    }
+
+    pub fn of(name: &str) -> Option<Standing> {
+        let all = [Standing::Steady, Standing::Recovering, Standing::JustTaught, Standing::Leaving];
+        all.into_iter().find(|one| one.name() == name)
+    }
+
     /// How much of a figure's weight counts. Leaving says nothing of what was seen before.
     pub fn trust(self) -> f64 {
         match self {
@@ -142,7 +206,7 @@
 }
 
 /// Why a told figure is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Unbelievable {
     /// No number, or one that such a figure can't have.
     Value,
@@ -180,7 +244,9 @@
             Err(Unbelievable::Hops)
         } else if self.origin == *own {
             Err(Unbelievable::Echo)
-        } else if !name(&self.origin.name) || !self.subject.names().all(name) {
+        } else if !name(&self.origin.name)
+            || ![self.subject.names().0, self.subject.names().1].into_iter().flatten().all(name)
+        {
             Err(Unbelievable::Name)
         } else {
             Ok(())
--- /dev/null
+++ b/crates/merlinshelf-knowledge/src/learner.rs
@@ -0,0 +1,291 @@
+//! One instance among those that teach each other: when it asks whom, what it tells, what it takes, how it stands itself,
+//! and how much of the cores teaching may take. It puts members and book together; the host carries messages, time and chance.
+
+use std::collections::BTreeMap;
+
+use merlinshelf::{Beliefs, Learnt};
+
+use crate::book::Book;
+use crate::fact::{Origin, Standing, Told, Unbelievable};
+use crate::lesson::Scope;
+use crate::members::{self, Members, News};
+
+/// What passes between two instances, as a question or as an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// Who says it.
+    pub from: News,
+    pub standing: Standing,
+    /// In a question: whether figures are wanted.
+    pub wants: bool,
+    pub news: Vec<News>,
+    pub figures: Vec<Told>,
+}
+
+/// Most news and figures in one message, whoever says it.
+pub const NEWS_MOST: usize = 32;
+pub const FIGURES_MOST: usize = 64;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub name: String,
+    /// Where others reach it.
+    pub address: String,
+    pub seeds: Vec<String>,
+    pub scope: Scope,
+    /// Share of one core that teaching may take, 0 to 1.
+    pub share: f64,
+    pub members: members::Settings,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Ask at this address; reported by `answered` or, in its time, by nothing.
+    Ask { address: String, question: Message },
+}
+
+/// By whom it was taught, for reports.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Lessons {
+    pub at: f64,
+    pub times: u64,
+    /// Figures taken, and figures that can't be true.
+    pub taken: u64,
+    pub unbelievable: u64,
+}
+
+/// A start is in a hurry for so long, or until it was taught by so many.
+const HURRY_FOR: f64 = 3.0;
+const HURRY_UNTIL: usize = 3;
+/// Who has run for less is still recovering in what it sees.
+const RECOVERS_FOR: f64 = 5.0;
+/// A young one wants figures with every question; later its own samples win, and they are for passing on and for its file.
+const YOUNG_FOR: f64 = 30.0;
+const WANTS_EVERY: u64 = 16;
+/// Samples of one's own, of all operations together, under which one knows what it was told and little else.
+const OWN_FEW: usize = 24;
+/// What the share of the cores may save up, seconds.
+const SAVED_MOST: f64 = 0.05;
+const TEACHERS_MOST: usize = 16;
+
+#[derive(Clone, Debug)]
+pub struct Learner {
+    settings: Settings,
+    began: f64,
+    book: Book,
+    members: Members,
+    standing: Standing,
+    /// Its own samples are from after a failed upgrade until then.
+    recovers_until: f64,
+    leaves: bool,
+    questions: u64,
+    lessons: BTreeMap<String, Lessons>,
+    /// Seconds on the cores that teaching may take at once, and as of when.
+    saved: f64,
+    saved_at: f64,
+    /// Questions that were not answered because teaching had taken its share.
+    pub turned_away: u64,
+    pub messages: u64,
+}
+
+impl Learner {
+    /// `life` tells this life from others of the same name: later ones have higher numbers.
+    pub fn new(now: f64, life: u64, settings: Settings) -> Learner {
+        let own = Origin { name: settings.name.clone(), life };
+        let members =
+            Members::new(now, &settings.name, &settings.address, life, &settings.seeds, settings.members);
+        Learner {
+            began: now,
+            book: Book::new(own),
+            members,
+            standing: Standing::Recovering,
+            recovers_until: now + RECOVERS_FOR,
+            leaves: false,
+            questions: 0,
+            lessons: BTreeMap::new(),
+            saved: SAVED_MOST,
+            saved_at: now,
+            turned_away: 0,
+            messages: 0,
+            settings,
+        }
+    }
+
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    pub fn book_mut(&mut self) -> &mut Book {
+        &mut self.book
+    }
+
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// By whom it was taught.
+    pub fn lessons(&self) -> &BTreeMap<String, Lessons> {
+        &self.lessons
+    }
+
+    /// Nobody is asked where nobody can be reached.
+    fn is_alone(&self) -> bool {
+        self.settings.address.is_empty()
+    }
+
+    pub fn wake_at(&self) -> Option<f64> {
+        (!self.is_alone()).then(|| self.members.wake_at())
+    }
+
+    fn in_hurry(&self, now: f64) -> bool {
+        now < self.began + HURRY_FOR && self.lessons.len() < HURRY_UNTIL && !self.leaves
+    }
+
+    /// What the module has learnt by now, on its clock.
+    pub fn see(&mut self, now: f64, clock: f64, learnt: &Learnt) {
+        let own: usize = learnt.operations.iter().map(|of| of.runs.len()).sum();
+        self.standing = if self.leaves {
+            Standing::Leaving
+        } else if own < OWN_FEW && !self.lessons.is_empty() {
+            Standing::JustTaught
+        } else if own < OWN_FEW || now < self.recovers_until || learnt.call_failures >= 5 {
+            Standing::Recovering
+        } else {
+            Standing::Steady
+        };
+        for seen in self.settings.scope.seen(clock, learnt) {
+            self.book.see(now, seen.subject, seen.value, seen.count, seen.age, self.standing);
+        }
+    }
+
+    /// What the module is to believe on the word of others.
+    pub fn beliefs(&self, now: f64) -> Beliefs {
+        self.settings.scope.beliefs(now, &self.book)
+    }
+
+    /// Everything was taken back from a failed successor: what is seen next is the recovery.
+    pub fn taken_back(&mut self, now: f64) {
+        self.recovers_until = now + RECOVERS_FOR;
+    }
+
+    /// It leaves, and says so to whom it still asks and answers.
+    pub fn leave(&mut self) {
+        self.leaves = true;
+        self.standing = Standing::Leaving;
+        self.members.leave();
+    }
+
+    /// A moment that it asked for has come. `chance` is a number from 0 to under 1, another at each call.
+    pub fn woken(&mut self, now: f64, chance: &mut dyn FnMut() -> f64) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if self.is_alone() {
+            return steps;
+        }
+        let hurry = self.in_hurry(now);
+        self.members.woken(now, hurry, chance);
+        while let Some(members::Step::Ask { address, news }) = self.members.next_step() {
+            self.questions += 1;
+            self.messages += 1;
+            let young = now < self.began + YOUNG_FOR;
+            let wants = young || self.questions.is_multiple_of(WANTS_EVERY);
+            let question = Message {
+                from: self.members.own().clone(),
+                standing: self.standing,
+                wants,
+                news,
+                figures: Vec::new(),
+            };
+            steps.push(Step::Ask { address, question });
+        }
+        steps
+    }
+
+    /// Somebody asks; the answer, or nothing where teaching has taken its share. News are answered at all times.
+    pub fn asked(&mut self, now: f64, question: &Message) -> Option<Message> {
+        self.saved = (self.saved + (now - self.saved_at).max(0.0) * self.settings.share).min(SAVED_MOST);
+        self.saved_at = now;
+        if self.saved < 0.0 {
+            self.turned_away += 1;
+            return None;
+        }
+        self.messages += 1;
+        let news = &question.news[..question.news.len().min(NEWS_MOST)];
+        let news = self.members.asked(now, &question.from, news);
+        let figures = if question.wants { self.book.tell(now, FIGURES_MOST) } else { Vec::new() };
+        let from = self.members.own().clone();
+        Some(Message { from, standing: self.standing, wants: false, news, figures })
+    }
+
+    /// What answering took on the cores.
+    pub fn spent(&mut self, seconds: f64) {
+        self.saved -= seconds;
+    }
+
+    /// Who was asked has answered. The figures that were not taken, by their reason.
+    pub fn answered(&mut self, now: f64, answer: &Message) -> BTreeMap<Unbelievable, u64> {
+        let news = &answer.news[..answer.news.len().min(NEWS_MOST)];
+        self.members.answered(now, &answer.from, news);
+        let mut odd = BTreeMap::new();
+        let mut taken = 0;
+        for told in answer.figures.iter().take(FIGURES_MOST) {
+            let told = self.weighed(answer, told.clone());
+            match self.book.hear(now, told) {
+                Ok(()) => taken += 1,
+                Err(why) => *odd.entry(why).or_default() += 1,
+            }
+        }
+        if taken > 0 || !odd.is_empty() {
+            if !self.lessons.contains_key(&answer.from.name) && self.lessons.len() >= TEACHERS_MOST {
+                let oldest = self.lessons.iter().min_by(|a, b| a.1.at.total_cmp(&b.1.at));
+                if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+                    self.lessons.remove(&name);
+                }
+            }
+            let lessons = self.lessons.entry(answer.from.name.clone()).or_default();
+            lessons.at = now;
+            lessons.times += 1;
+            lessons.taken += taken;
+            lessons.unbelievable += odd.values().sum::<u64>();
+        }
+        odd
+    }
+
+    /// A figure as the one who answers stands now: what it saw itself counts no more than it does. Nobody speaks for an
+    /// origin over fewer hops than are between: only of oneself one tells over one.
+    fn weighed(&self, answer: &Message, mut told: Told) -> Told {
+        if told.origin.name == answer.from.name {
+            if answer.standing.trust() < told.standing.trust() {
+                told.standing = answer.standing;
+            }
+        } else {
+            told.hops = told.hops.max(2);
+        }
+        told
+    }
+
+    /// What is kept for another process: all that is known, told as by a teacher.
+    pub fn kept(&self, now: f64) -> Vec<Told> {
+        self.book.all(now)
+    }
+
+    /// What another process of this instance has kept: a teacher like others, its own earlier life. How many figures were
+    /// taken.
+    pub fn remember(&mut self, now: f64, kept: Vec<Told>) -> usize {
+        let mut taken = 0;
+        for told in kept {
+            taken += usize::from(self.book.hear(now, told).is_ok());
+        }
+        if taken > 0 {
+            let lessons = self.lessons.entry(format!("{} (its own past)", self.settings.name)).or_default();
+            lessons.at = now;
+            lessons.times += 1;
+            lessons.taken += taken as u64;
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/merlinshelf-knowledge/src/lesson.rs
@@ -0,0 +1,113 @@
+//! Between the decision module and the book: what the module has learnt as figures, and what is believed in the module's form.
+
+use std::collections::VecDeque;
+
+use merlinshelf::{Beliefs, Believed, Learnt};
+
+use crate::book::Book;
+use crate::fact::Subject;
+
+/// What figures are of, here. Figures of an engine hold for engines of one kind only, those of a dependency for all that
+/// share it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scope {
+    pub engine: String,
+    pub dependency: String,
+    /// Names of the operations, in the order of the settings.
+    pub operations: Vec<String>,
+    /// For how long callers keep a connection, seconds; those that came back within it came back.
+    pub keep_idle: Option<u64>,
+}
+
+/// One figure out of what the module has learnt; `age` is how long ago the newest of its samples was taken, seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub subject: Subject,
+    pub value: f64,
+    pub count: u32,
+    pub age: f64,
+}
+
+fn mean(samples: &VecDeque<f64>) -> f64 {
+    samples.iter().sum::<f64>() / samples.len().max(1) as f64
+}
+
+impl Scope {
+    fn run(&self, recent: bool, operation: &str) -> Subject {
+        let (engine, operation) = (self.engine.clone(), operation.to_owned());
+        if recent {
+            Subject::RunRecent { engine, operation }
+        } else {
+            Subject::RunLowest { engine, operation }
+        }
+    }
+
+    fn below(&self, operation: &str) -> Subject {
+        Subject::RunBelow { dependency: self.dependency.clone(), operation: operation.to_owned() }
+    }
+
+    /// The figures of what was learnt, as of `now` on the module's clock.
+    pub fn seen(&self, now: f64, learnt: &Learnt) -> Vec<Seen> {
+        let mut all = Vec::new();
+        let mut add = |subject: Subject, value: f64, count: usize, age: f64| {
+            if count > 0 {
+                all.push(Seen { subject, value, count: count as u32, age: age.max(0.0) });
+            }
+        };
+        let ran = now - learnt.progress;
+        for (name, of) in self.operations.iter().zip(&learnt.operations) {
+            let (took, cost) = (of.runs.iter().sum::<f64>(), of.costs.iter().sum::<f64>());
+            add(self.run(true, name), took / cost.max(1e-9), of.runs.len(), ran);
+            add(self.run(false, name), of.lowest, of.runs.len(), ran);
+            if of.below.iter().any(|below| *below > 0.0) {
+                add(self.below(name), mean(&of.below), of.below.len(), ran);
+            }
+        }
+        let runs = learnt.operations.iter().map(|of| of.runs.len()).sum();
+        add(Subject::Limit { engine: self.engine.clone() }, learnt.limit, runs, ran);
+        let dependency = || self.dependency.clone();
+        let called = learnt.calls.back().map_or(5.0, |(_, end)| now - end);
+        let calls = learnt.call_times.len();
+        add(Subject::CallRecent { dependency: dependency() }, mean(&learnt.call_times), calls, called);
+        // Of fewer the module has not taken its lowest yet.
+        if learnt.call_lowest > 0.0 && calls >= 8 {
+            add(Subject::CallLowest { dependency: dependency() }, learnt.call_lowest, calls, called);
+            add(Subject::CallLimit { dependency: dependency() }, learnt.call_limit, calls, called);
+        }
+        let failures = learnt.call_failures;
+        if failures > 0 || calls > 0 {
+            let age = if failures > 0 { now - learnt.call_failed_at } else { called };
+            let count = calls.max(failures as usize).min(24);
+            add(Subject::CallFailures { dependency: dependency() }, f64::from(failures), count, age);
+        }
+        add(Subject::CallersAgain, mean(&learnt.agains), learnt.agains.len(), ran);
+        if let Some(idle) = self.keep_idle {
+            let back = learnt.gaps.iter().filter(|gap| **gap <= idle as f64).count() as f64;
+            add(Subject::CallersBack, back / learnt.gaps.len().max(1) as f64, learnt.gaps.len(), ran);
+        }
+        all
+    }
+
+    /// What is believed of these on the word of others.
+    pub fn beliefs(&self, now: f64, book: &Book) -> Beliefs {
+        let of = |subject: Subject| {
+            book.believe(now, &subject).map(|it| Believed { value: it.value, weight: it.weight })
+        };
+        let each = |subject: &dyn Fn(&str) -> Subject| -> Vec<Option<Believed>> {
+            self.operations.iter().map(|name| of(subject(name))).collect()
+        };
+        let dependency = || self.dependency.clone();
+        Beliefs {
+            runs: each(&|name| self.run(true, name)),
+            lowest: each(&|name| self.run(false, name)),
+            below: each(&|name| self.below(name)),
+            limit: of(Subject::Limit { engine: self.engine.clone() }),
+            call_time: of(Subject::CallRecent { dependency: dependency() }),
+            call_lowest: of(Subject::CallLowest { dependency: dependency() }),
+            call_limit: of(Subject::CallLimit { dependency: dependency() }),
+            call_failures: of(Subject::CallFailures { dependency: dependency() }),
+            again: of(Subject::CallersAgain),
+            back: of(Subject::CallersBack),
+        }
+    }
+}
--- a/crates/merlinshelf-knowledge/src/log.rs
+++ b/crates/merlinshelf-knowledge/src/log.rs
@@ -1,14 +1,16 @@
 //! The form in which a book is kept: a head, then records, each whole or not at all.
 //!
 //! The head is `MSK1` and the form's number (u32, little endian). A record is its length (u32), the CRC-32 of what follows,
-//! and so many bytes of a told figure in MessagePack, its age as of a wall clock's moment. Whatever is torn, garbled or
-//! foreign is told and ends the reading there; what came before it counts.
+//! and so many bytes of MessagePack. In form 1 they are a figure, its age as of a wall clock's moment; in form 2, the one
+//! that is written, a figure or the number of a life that was begun. Whatever is torn, garbled or foreign is told and ends
+//! the reading there; what came before it counts.
 
 use serde::{Deserialize, Serialize};
 
 use crate::fact::Told;
 
-const HEAD: [u8; 8] = *b"MSK1\x01\0\0\0";
+const HEAD: [u8; 8] = *b"MSK1\x02\0\0\0";
+const FIRST_FORM: [u8; 8] = *b"MSK1\x01\0\0\0";
 /// A told figure is a fraction of it.
 const RECORD_MOST: usize = 4096;
 
@@ -19,6 +21,14 @@
     pub told: Told,
 }
 
+/// What a record holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    Figure(Kept),
+    /// A life of the instance was begun under this number.
+    Life(u64),
+}
+
 /// Why reading ended before the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flaw {
@@ -30,10 +40,10 @@
     Garbled,
 }
 
-/// What a file held: the figures that can be read, how many bytes these are, and the flaw behind them.
-#[derive(Clone, Debug, PartialEq)]
+/// What a file held: the records that can be read, how many bytes these are, and the flaw behind them.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Recovered {
-    pub kept: Vec<Kept>,
+    pub records: Vec<Record>,
     pub used: usize,
     pub flaw: Option<Flaw>,
 }
@@ -44,8 +54,8 @@
 }
 
 /// One record.
-pub fn record(kept: &Kept) -> Vec<u8> {
-    let bytes = rmp_serde::to_vec_named(kept).unwrap_or_default();
+pub fn record(record: &Record) -> Vec<u8> {
+    let bytes = rmp_serde::to_vec_named(record).unwrap_or_default();
     let mut out = (bytes.len() as u32).to_le_bytes().to_vec();
     out.extend(crc32fast::hash(&bytes).to_le_bytes());
     out.extend(bytes);
@@ -54,20 +64,21 @@
 
 /// Reads a file as far as it can be read. An empty one is new, and no flaw.
 pub fn recover(bytes: &[u8]) -> Recovered {
-    let mut recovered = Recovered { kept: Vec::new(), used: 0, flaw: None };
+    let mut recovered = Recovered::default();
     if bytes.is_empty() {
         return recovered;
     }
-    if !bytes.starts_with(&HEAD) {
-        let torn = HEAD.starts_with(bytes);
+    let first_form = bytes.starts_with(&FIRST_FORM);
+    if !first_form && !bytes.starts_with(&HEAD) {
+        let torn = HEAD.starts_with(bytes) || FIRST_FORM.starts_with(bytes);
         recovered.flaw = Some(if torn { Flaw::Torn } else { Flaw::Foreign });
         return recovered;
     }
     recovered.used = HEAD.len();
     while recovered.used < bytes.len() {
-        match one(&bytes[recovered.used..]) {
-            Ok((kept, count)) => {
-                recovered.kept.push(kept);
+        match one(&bytes[recovered.used..], first_form) {
+            Ok((record, count)) => {
+                recovered.records.push(record);
                 recovered.used += count;
             }
             Err(flaw) => {
@@ -79,7 +90,7 @@
     recovered
 }
 
-fn one(bytes: &[u8]) -> Result<(Kept, usize), Flaw> {
+fn one(bytes: &[u8], first_form: bool) -> Result<(Record, usize), Flaw> {
     let number = |at: usize| {
         let four = bytes.get(at..at + 4).and_then(|four| four.try_into().ok());
         four.map(u32::from_le_bytes).ok_or(Flaw::Torn)
@@ -92,8 +103,12 @@
     if crc32fast::hash(record) != sum {
         return Err(Flaw::Garbled);
     }
-    let kept = rmp_serde::from_slice(record).map_err(|_| Flaw::Garbled)?;
-    Ok((kept, 8 + length))
+    let record = if first_form {
+        rmp_serde::from_slice(record).map(Record::Figure)
+    } else {
+        rmp_serde::from_slice(record)
+    };
+    Ok((record.map_err(|_| Flaw::Garbled)?, 8 + length))
 }
 
 impl Kept {
--- a/crates/merlinshelf-knowledge/src/members.rs
+++ b/crates/merlinshelf-knowledge/src/members.rs
@@ -44,6 +44,9 @@
     pub peers_most: usize,
     /// News that go with a question or an answer.
     pub news_most: usize,
+    /// Peers that are asked at one time by one in a hurry, and between two questions of it.
+    pub at_once: usize,
+    pub hurry_every: f64,
 }
 
 impl Default for Settings {
@@ -55,6 +58,8 @@
             forget_after: 60.0,
             peers_most: 4096,
             news_most: 32,
+            at_once: 3,
+            hurry_every: 0.05,
         }
     }
 }
@@ -89,7 +94,7 @@
     /// Names still to be asked in this round.
     round: VecDeque<String>,
     /// Who was asked, and until when its answer counts.
-    asked: Option<(String, f64)>,
+    asked: Vec<(String, f64)>,
     ask_at: f64,
     steps: VecDeque<Step>,
 }
@@ -116,7 +121,7 @@
             settings,
             peers: BTreeMap::new(),
             round: VecDeque::new(),
-            asked: None,
+            asked: Vec::new(),
             ask_at: now,
             steps: VecDeque::new(),
         }
@@ -128,7 +133,7 @@
 
     /// When it wants to be woken though nothing happens.
     pub fn wake_at(&self) -> f64 {
-        self.asked.as_ref().map_or(self.ask_at, |(_, until)| until.min(self.ask_at))
+        self.asked.iter().map(|(_, until)| *until).fold(self.ask_at, f64::min)
     }
 
     /// Peers that can be asked, by name and address.
@@ -155,10 +160,11 @@
     }
 
     /// A moment that it asked for has come. `chance` is a number from 0 to under 1, another at each call.
-    pub fn woken(&mut self, now: f64, chance: &mut dyn FnMut() -> f64) {
-        if let Some((name, _)) = self.asked.take_if(|(_, until)| now >= *until) {
-            self.silent(now, &name);
-        }
+    /// One in a hurry asks several at once and again soon.
+    pub fn woken(&mut self, now: f64, hurry: bool, chance: &mut dyn FnMut() -> f64) {
+        let late: Vec<String> =
+            self.asked.extract_if(.., |(_, until)| now >= *until).map(|(name, _)| name).collect();
+        late.iter().for_each(|name| self.silent(now, name));
         for peer in self.peers.values_mut() {
             if peer.state == State::Suspect && now >= peer.since + self.settings.suspect_for {
                 (peer.state, peer.since, peer.told) = (State::Gone, now, 0);
@@ -169,15 +175,25 @@
         if now < self.ask_at {
             return;
         }
+        let (at_once, every) = match hurry {
+            true => (self.settings.at_once, self.settings.hurry_every),
+            false => (1, self.settings.ask_every),
+        };
         // A part of the pause by chance, so that instances that start together do not ask together.
-        self.ask_at = now + self.settings.ask_every * (0.75 + 0.5 * chance());
+        self.ask_at = now + every * (0.75 + 0.5 * chance());
+        if self.asked.len() >= at_once {
+            return;
+        }
         if self.round.is_empty() {
             self.new_round(chance);
         }
         while let Some(name) = self.round.pop_front() {
             let Some(address) = self.address_of(&name) else { continue };
+            if self.asked.iter().any(|(asked, _)| *asked == name) {
+                continue;
+            }
             let until = now + self.settings.answer_within;
-            self.asked = Some((name, until));
+            self.asked.push((name, until));
             let news = self.news();
             return self.steps.push_back(Step::Ask { address, news });
         }
@@ -214,12 +230,9 @@
 
     /// Who was asked has answered, with this of itself and of others.
     pub fn answered(&mut self, now: f64, from: &News, news: &[News]) {
-        let awaited = self.asked.as_ref().is_some_and(|(name, _)| {
-            *name == from.name || name.strip_prefix('@').is_some_and(|seed| seed == from.address)
+        self.asked.retain(|(name, _)| {
+            *name != from.name && name.strip_prefix('@').is_none_or(|seed| seed != from.address)
         });
-        if awaited {
-            self.asked = None;
-        }
         self.heard(now, from);
         news.iter().for_each(|news| self.heard(now, news));
     }
--- a/crates/merlinshelf-knowledge/tests/knowledge.rs
+++ b/crates/merlinshelf-knowledge/tests/knowledge.rs
@@ -4,7 +4,7 @@
 
 use insta::assert_snapshot;
 use merlinshelf_knowledge::fact::HOPS_MOST;
-use merlinshelf_knowledge::log::{Flaw, Kept, head, record, recover};
+use merlinshelf_knowledge::log::{Flaw, Kept, Record, head, record, recover};
 use merlinshelf_knowledge::{Book, Origin, Standing, Subject, Told, Unbelievable};
 use proptest::prelude::*;
 
@@ -124,10 +124,10 @@
     fn circles_make_nothing_younger_or_surer(talks in talks()) {
         let mut books: Vec<Book> = (0..5).map(|number| Book::new(origin(&number.to_string()))).collect();
         let mut now = 1000.0;
-        books[0].see(now, calls(), 0.01, 24, Standing::Steady);
+        books[0].see(now, calls(), 0.01, 24, 0.0, Standing::Steady);
         for Talk { from, to, passes } in talks {
             now += passes;
-            for told in books[from].tell(now) {
+            for told in books[from].tell(now, 1000) {
                 prop_assert!(told.hops >= 1 && (told.origin == origin(&from.to_string())) == (told.hops == 1));
                 let _ = books[to].hear(now, told);
             }
@@ -148,7 +148,7 @@
     #[test]
     fn a_book_is_bounded(names in proptest::collection::vec((0u32..400, 0u32..2000), 1..800)) {
         let mut book = Book::new(origin("me"));
-        book.see(0.0, calls(), 0.01, 3, Standing::Steady);
+        book.see(0.0, calls(), 0.01, 3, 0.0, Standing::Steady);
         for (name, operation) in names {
             let subject = match operation {
                 0..1000 => calls(),
@@ -168,7 +168,9 @@
     fn a_torn_or_garbled_file_gives_back_what_stood_before(
         values in proptest::collection::vec(0.001f64..1.0, 1..12), cut in 0usize..3000, flip in 0usize..3000, bit in 0u8..8,
     ) {
-        let all: Vec<Kept> = values.iter().map(|value| Kept { at: 5.0, told: told("a", *value, 0.5) }).collect();
+        let kept = |value: &f64| Record::Figure(Kept { at: 5.0, told: told("a", *value, 0.5) });
+        let mut all: Vec<Record> = vec![Record::Life(7)];
+        all.extend(values.iter().map(kept));
         let mut ends = vec![8];
         let mut bytes = head();
         for kept in &all {
@@ -176,17 +178,17 @@
             ends.push(bytes.len());
         }
         let whole = recover(&bytes);
-        prop_assert_eq!((&whole.kept, whole.used, whole.flaw), (&all, bytes.len(), None));
+        prop_assert_eq!((&whole.records, whole.used, whole.flaw), (&all, bytes.len(), None));
         let cut = cut.min(bytes.len());
         let torn = recover(&bytes[..cut]);
         let before = ends.iter().filter(|end| **end <= cut).count().saturating_sub(1);
-        prop_assert_eq!(torn.kept.as_slice(), &all[..before]);
+        prop_assert_eq!(torn.records.as_slice(), &all[..before]);
         prop_assert_eq!(torn.flaw.is_none(), cut == 0 || ends.contains(&cut), "{:?}", torn.flaw);
         let flip = flip % bytes.len();
         bytes[flip] ^= 1 << bit;
         let garbled = recover(&bytes);
         let before = ends.iter().filter(|end| **end <= flip).count().saturating_sub(1);
-        prop_assert_eq!(garbled.kept.as_slice(), &all[..before]);
+        prop_assert_eq!(garbled.records.as_slice(), &all[..before]);
         prop_assert!(garbled.flaw.is_some());
     }
 }
@@ -194,7 +196,8 @@
 #[test]
 fn a_foreign_file_is_told_and_a_clock_that_went_back_makes_nothing_younger() {
     assert_eq!(recover(b"SQLite format 3\0").flaw, Some(Flaw::Foreign));
-    assert_eq!(recover(b"MSK1\x02\0\0\0").flaw, Some(Flaw::Foreign));
+    assert_eq!(recover(b"MSK1\x03\0\0\0").flaw, Some(Flaw::Foreign));
+    assert_eq!(recover(b"MSK1\x01\0\0\0").flaw, None);
     assert_eq!((recover(b"").flaw, recover(b"MS").flaw), (None, Some(Flaw::Torn)));
     let kept = Kept { at: 1000.0, told: told("a", 0.01, 7.0) };
     assert_eq!(kept.clone().told_at(1030.0).age, 37.0);
--- a/crates/merlinshelf-knowledge/tests/members.rs
+++ b/crates/merlinshelf-knowledge/tests/members.rs
@@ -89,7 +89,7 @@
                 What::Wake(number) => {
                     let chance = &mut self.chance;
                     let Some(Some(one)) = self.members.get_mut(number) else { continue };
-                    one.woken(now, &mut || chance.next());
+                    one.woken(now, false, &mut || chance.next());
                     let (mut asks, own, wake) = (Vec::new(), one.own().clone(), one.wake_at());
                     while let Some(Step::Ask { address, news }) = one.next_step() {
                         asks.push((address, news));
--- a/crates/merlinshelf-lab/src/lib.rs
+++ b/crates/merlinshelf-lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! checker of the rules, and trials. Everything binds to loopback addresses and ends by itself.
 
 pub mod demo;
+pub mod disk;
 pub mod instance;
 pub mod load;
 pub mod script;
--- a/crates/merlinshelf-protocol/src/control.rs
+++ b/crates/merlinshelf-protocol/src/control.rs
@@ -19,6 +19,10 @@
     Status,
     Drain,
     Upgrade,
+    /// What is known, from whom and how old.
+    Knowledge,
+    /// Forget what was told: by the `origin` that the body names, or by all.
+    Forget,
 }
 
 /// How far what was asked for has come.
@@ -39,6 +43,8 @@
             Question::Status => "status",
             Question::Drain => "drain",
             Question::Upgrade => "upgrade",
+            Question::Knowledge => "knowledge",
+            Question::Forget => "forget",
         }
     }
 }
@@ -60,6 +66,8 @@
         "status".value(Question::Status),
         "drain".value(Question::Drain),
         "upgrade".value(Question::Upgrade),
+        "knowledge".value(Question::Knowledge),
+        "forget".value(Question::Forget),
     ));
     message(input, "ask ", words, Fault("unreadable question"))
 }
--- a/crates/merlinshelf-protocol/src/lib.rs
+++ b/crates/merlinshelf-protocol/src/lib.rs
@@ -1,11 +1,12 @@
-//! What a backend speaks with its edge nodes, its engine, the catalogue below and the membership service:
-//! parsers over bytes that may have come in part, and encoders into any buffer. No input or output here.
+//! What a backend speaks with its edge nodes, its engine, the catalogue below, the membership service, operators' tools and
+//! other instances: parsers over bytes that may have come in part, and encoders into any buffer. No input or output here.
 
 pub mod catalogue;
 pub mod control;
 pub mod engine;
 pub mod fastcgi;
 pub mod members;
+pub mod teaching;
 
 use std::fmt;
 
--- a/crates/merlinshelf/src/lib.rs
+++ b/crates/merlinshelf/src/lib.rs
@@ -164,3 +164,34 @@
     pub gaps: VecDeque<f64>,
     pub agains: VecDeque<f64>,
 }
+
+/// A figure on the word of others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Believed {
+    pub value: f64,
+    /// How sure it is, 0 to 1.
+    pub weight: f64,
+}
+
+/// What is believed of the servers behind and of callers on the word of others, where one's own samples are missing or
+/// few. Durations are seconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Beliefs {
+    /// By operation: how long its runs take lately, by unit of cost.
+    pub runs: Vec<Option<Believed>>,
+    /// By operation: how long they take at the least, by unit of cost.
+    pub lowest: Vec<Option<Believed>>,
+    /// By operation: how long its runs spend at calls.
+    pub below: Vec<Option<Believed>>,
+    /// The limit of invocations in hand.
+    pub limit: Option<Believed>,
+    pub call_time: Option<Believed>,
+    pub call_lowest: Option<Believed>,
+    pub call_limit: Option<Believed>,
+    /// Calls that failed in a row.
+    pub call_failures: Option<Believed>,
+    /// Share of the arrivals that are further tries, 0 to 1.
+    pub again: Option<Believed>,
+    /// Share of the callers that come back while their connection would be kept, 0 to 1.
+    pub back: Option<Believed>,
+}
--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -11,7 +11,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::{Decided, Inv, Invocation, Learnt, LearntOfOperation, Outcome, Settings, Stage};
+use crate::{
+    Beliefs, Believed, Decided, Inv, Invocation, Learnt, LearntOfOperation, Outcome, Settings, Stage,
+};
 
 #[cfg(test)]
 mod tests;
@@ -96,6 +98,7 @@
     callers: BTreeMap<u64, f64>,            // when each came last
     gaps: VecDeque<f64>,                    // after how long the callers of the last arrivals had come back
     agains: VecDeque<f64>,                  // whether the last arrivals were further tries (1 or 0)
+    beliefs: Beliefs,                       // on the word of others: nothing on the ordinary path
 }
 
 /// Keeps the last few samples. 24 spans a second or two of a busy operation: recent, not jumpy.
@@ -110,6 +113,18 @@
     samples.iter().sum::<f64>() / samples.len().max(1) as f64
 }
 
+/// What others' word counts beside so many own samples: as three at the most, and nothing beside eight, so
+/// that the worst lie is gone after eight.
+fn told(own: usize, word: Option<Believed>) -> (f64, f64) {
+    word.filter(|_| own < 8).map_or((0.0, 0.0), |it| (it.value, 3.0 * it.weight.clamp(0.0, 1.0)))
+}
+
+fn mean_beside(samples: &VecDeque<f64>, word: Option<Believed>) -> f64 {
+    let (value, weight) = told(samples.len(), word);
+    let sum = samples.iter().sum::<f64>() + value * weight;
+    sum / (samples.len() as f64 + weight).max(1e-9)
+}
+
 impl Shedder {
     /// A new instance. Fails on a setting that it uses and cannot read, naming it.
     pub fn start(now: f64, seed: u64, settings: Settings) -> Result<(Self, Decided), String> {
@@ -200,6 +215,33 @@
         self.call_failed_at = learnt.call_failed_at;
     }
 
+    /// Takes what is believed on the word of others, as often as it changes. Limits start from it and move by
+    /// one's own samples alone; durations count beside the first few of these (`told`).
+    pub fn believe(&mut self, beliefs: Beliefs) {
+        let towards = |from: f64, word: Believed| from + (word.value - from) * word.weight.clamp(0.0, 1.0);
+        if self.call_times.is_empty() && self.call_failures == 0 {
+            let share = self.num("FamilyInfo.CallShare", f64::INFINITY);
+            if let Some(word) = beliefs.call_limit.filter(|_| share.is_finite()) {
+                self.call_limit = towards(0.4 * share, word).clamp((0.25 * share).min(1.0), 0.8 * share);
+            }
+            if let Some(word) = beliefs.call_lowest {
+                (self.call_lowest, self.call_probe) = (word.value, 24); // then taken anew from own ones
+            }
+            if beliefs.call_failures.is_some_and(|word| word.value >= 5.0 && word.weight > 0.2) {
+                (self.call_failures, self.call_failed_at) = (5, self.now); // one trial tells whether it holds
+            }
+        }
+        if let Some(word) = beliefs.limit.filter(|_| self.ops.iter().all(|op| op.runs.is_empty())) {
+            self.limit = towards(self.cores(), word).min(self.survivable()).max(self.cores());
+        }
+        for (op, word) in self.ops.iter_mut().zip(&beliefs.lowest) {
+            if let Some(word) = word.filter(|_| op.runs.is_empty()) {
+                (op.lowest, op.until_probe) = (word.value, 8.0);
+            }
+        }
+        self.beliefs = beliefs;
+    }
+
     /// All that is held of an invocation in hand.
     pub fn invocation(&self, inv: usize) -> Option<&Inv> {
         self.lives(inv).then(|| &self.invs[inv])
@@ -404,7 +446,7 @@
         let away = if self.leave_at.is_some() { most } else { clear.min(most) };
         // Not elsewhere where it has been, nor while over a seventh of the last arrivals were further tries:
         // all turn away then. Guards against storms of tries; harm: lost where others have room.
-        let last = self.invs[inv].told.again || mean(&self.agains) > 0.15;
+        let last = self.invs[inv].told.again || mean_beside(&self.agains, self.beliefs.again) > 0.15;
         self.out.throttled.push((inv, away, last));
         if let Some(last) = self.turned.last_mut() {
             *last = true;
@@ -566,8 +608,10 @@
     /// Expected run time of an operation by unit of cost, by its last runs. Those that now last twice as long
     /// count too: sudden slowness shows before one ends; harm: a long run by chance makes the next look long.
     fn rate(&self, op: usize) -> f64 {
-        let mut took = self.ops[op].runs.iter().sum::<f64>();
-        let mut cost = self.ops[op].costs.iter().sum::<f64>().max(1e-9);
+        let (value, weight) = told(self.ops[op].runs.len(), self.beliefs.runs.get(op).copied().flatten());
+        let of = weight * if self.ops[op].costs.is_empty() { 1.0 } else { mean(&self.ops[op].costs) };
+        let mut took = self.ops[op].runs.iter().sum::<f64>() + value * of;
+        let mut cost = (self.ops[op].costs.iter().sum::<f64>() + of).max(1e-9);
         let twice = 2.0 * took / cost;
         for one in self.all(|one| one.stage == Stage::Running && one.told.operation == op) {
             let (lasts, of) = (self.now - one.began - one.away, one.told.cost.unwrap_or(1.0));
@@ -580,13 +624,18 @@
 
     fn core_time(&self, it: &Inv) -> f64 {
         // Unsampled: by the hint, longer while cold. Guards successors in a rush; harm: fast ones refuse.
-        let unknown = self.ops[it.told.operation].runs.is_empty();
+        let op = it.told.operation;
+        let unknown = self.ops[op].runs.is_empty() && self.beliefs.runs.get(op).is_none_or(Option::is_none);
         let least = if unknown && it.told.cost.is_some() { 1.0 / self.warmth().max(0.1) } else { 0.0 };
-        self.rates[it.told.operation].max(least) * it.told.cost.unwrap_or(1.0)
+        self.rates[op].max(least) * it.told.cost.unwrap_or(1.0)
     }
 
     fn whole_time(&self, it: &Inv) -> f64 {
-        self.core_time(it) + mean(&self.ops[it.told.operation].below)
+        self.core_time(it) + self.below(it.told.operation)
+    }
+
+    fn below(&self, op: usize) -> f64 {
+        mean_beside(&self.ops[op].below, self.beliefs.below.get(op).copied().flatten())
     }
 
     /// Whether this arrival is over its customer's share: by chance, in proportion, once it clearly is here.
@@ -678,7 +727,8 @@
         let full = open >= (2.0 * limit).ceil().min(share.floor()).max(1.0);
         let room = share * window - self.used_below(window) - self.secs("FamilyInfo.StaysForUs", 0.0);
         // A call cut short stays below all the same: none without room for four mean ones.
-        let four = if self.call_times.is_empty() { f64::MAX } else { 4.0 * mean(&self.call_times) };
+        let time = mean_beside(&self.call_times, self.beliefs.call_time);
+        let four = if time == 0.0 { f64::MAX } else { 4.0 * time };
         // In a window longer than the told one backends take turns by seed: together they keep to the told.
         let told = self.secs("FamilyInfo.DepWindowUs", 5.0).max(1e-6);
         let turns = (window / told).ceil() as u64; // 1 or more
@@ -707,8 +757,8 @@
     }
 
     fn call_to_skip(&self) -> Option<usize> {
-        // What holds for all is found out once: with hundreds at a jam each would look through all others, until
-        // nothing but this was done any more.
+        // What holds for all is found out once: with hundreds at a jam each would look through all others,
+        // until nothing but this was done any more.
         let breaker = LazyCell::new(|| self.breaker_holds());
         // Half of the limit is kept for operations that can't do without, if such run here.
         let needs = |op: &Operation| op.calls && op.skip_value == 0.0 && !op.runs.is_empty();
@@ -718,7 +768,7 @@
         let dearest = LazyCell::new(|| stakes().fold(f64::NEG_INFINITY, f64::max));
         self.first(|it| {
             let op = &self.ops[it.told.operation];
-            let late = || self.now + mean(&op.below) + 0.5 * self.core_time(it) > it.by;
+            let late = || self.now + self.below(it.told.operation) + 0.5 * self.core_time(it) > it.by;
             let short = || *kept || *full && *dearest > self.stake(it);
             let skip = || !self.may_call(it) || *breaker || late() || short();
             it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip()
@@ -789,8 +839,11 @@
         let idle = self.secs("FamilyInfo.CallerIdleUs", 0.0);
         let from = self.now - if self.callers.len() > 4096 { idle.min(1.0) } else { idle };
         self.callers.retain(|_, &mut last| last >= from); // a later one counts as new, as it would anyway
-        let back = self.gaps.iter().filter(|&&gap| gap <= idle).count();
-        if self.gaps.len() < 8 || 2 * back >= self.gaps.len() { idle / 3.0 } else { idle.min(0.01) }
+        let few = self.gaps.len() < 8;
+        let back =
+            self.gaps.iter().filter(|&&gap| gap <= idle).count() as f64 / self.gaps.len().max(1) as f64;
+        let back = if few { self.beliefs.back.map_or(1.0, |word| word.value) } else { back };
+        if back >= 0.5 { idle / 3.0 } else { idle.min(0.01) }
     }
 
     fn settle(&mut self) -> Decided {
