Learn from peers and from one's own past: listener, folder, commands, trial

The backend carries out what merlinshelf-knowledge decides: one question and answer a connection on a loopback listener of its own, a folder on a thread of its own behind a lock, beliefs for the module, what is known in the image of an upgrade, status, and knowledge show, export and forget. Tests provoke teachers that are slow, endless, silent or lie, floods, crashes, files that can't be read, a notice to leave and an upgrade in the midst of it.

--- a/crates/merlinshelf-backend/src/control.rs
+++ b/crates/merlinshelf-backend/src/control.rs
@@ -26,6 +26,7 @@
 /// The longest upgrade is watched for an hour.
 const UPGRADE_WITHIN: Duration = Duration::from_secs(2 * 3600);
 const QUESTION_MOST: usize = 4 * 1024;
+const LEARNING_OFF: &str = "learning is off: the operators' file has no `learning`";
 /// After a failed accept, which mostly says that descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -34,6 +35,10 @@
     Status(oneshot::Sender<Value>),
     Drain(oneshot::Sender<Value>),
     Upgrade(UnboundedSender<Progress>),
+    /// All figures in pages; none where learning is off.
+    Knowledge(oneshot::Sender<Option<Vec<Value>>>),
+    /// Forget what this origin told, or all; how many figures these were, none where learning is off.
+    Forget(Option<String>, oneshot::Sender<Option<usize>>),
 }
 
 /// The open socket; dropping it closes it, and leaves what was asked already to its end.
@@ -128,7 +133,7 @@
 }
 
 async fn attend(stream: &UnixStream, asked: UnboundedSender<Asked>) -> io::Result<()> {
-    let (form, question) = match timeout(WORD_WITHIN, read(stream)).await? {
+    let (form, question, body) = match timeout(WORD_WITHIN, read(stream)).await? {
         Ok(read) => read,
         Err(error) if error.kind() == io::ErrorKind::InvalidData => {
             return say(stream, Word::Failed, &json!({ "text": error.to_string() })).await;
@@ -148,6 +153,27 @@
             let answer = answer.await.map_err(|_| gone())?;
             say(stream, Word::Done, &answer).await
         }
+        Question::Knowledge => {
+            let (sender, pages) = oneshot::channel();
+            asked.send(Asked::Knowledge(sender)).map_err(|_| gone())?;
+            let Some(pages) = pages.await.map_err(|_| gone())? else {
+                return say(stream, Word::Refused, &json!({ "text": LEARNING_OFF })).await;
+            };
+            for page in &pages {
+                say(stream, Word::More, page).await?;
+            }
+            say(stream, Word::Done, &json!({ "pages": pages.len() })).await
+        }
+        Question::Forget => {
+            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let origin = body["origin"].as_str().map(str::to_owned);
+            let (sender, gone_by) = oneshot::channel();
+            asked.send(Asked::Forget(origin, sender)).map_err(|_| gone())?;
+            match gone_by.await.map_err(|_| gone())? {
+                Some(count) => say(stream, Word::Done, &json!({ "forgotten": count })).await,
+                None => say(stream, Word::Refused, &json!({ "text": LEARNING_OFF })).await,
+            }
+        }
         Question::Upgrade => {
             let (sender, progress) = unbounded_channel();
             asked.send(Asked::Upgrade(sender)).map_err(|_| gone())?;
@@ -176,11 +202,11 @@
 }
 
 /// The question, once it has come whole.
-async fn read(stream: &UnixStream) -> io::Result<(u32, Question)> {
+async fn read(stream: &UnixStream) -> io::Result<(u32, Question, Vec<u8>)> {
     let mut come = Vec::new();
     loop {
         match control::question(&come) {
-            Ok(Some(((form, question, _), _))) => return Ok((form, question)),
+            Ok(Some(((form, question, body), _))) => return Ok((form, question, body.to_vec())),
             Ok(None) if come.len() <= QUESTION_MOST => {}
             Ok(None) => return Err(io::Error::new(io::ErrorKind::InvalidData, "the question is too long")),
             Err(fault) => return Err(io::Error::new(io::ErrorKind::InvalidData, fault.0)),
--- a/crates/merlinshelf-backend/src/exchange/carry.rs
+++ b/crates/merlinshelf-backend/src/exchange/carry.rs
@@ -122,6 +122,7 @@
             calls_again: self.calls_again.clone(),
             counters: self.counters.by_name(),
             learnt,
+            knowledge: ByteBuf::from(if whole { self.knowledge.clone() } else { Vec::new() }),
         }
     }
 
@@ -274,6 +275,7 @@
             let left = Duration::from_secs_f64((stop - now).clamp(0.0, 1e6));
             self.leaving = Some(tokio::time::Instant::now() + left);
         }
+        self.knowledge = instance.knowledge.into_vec();
         let Some(learnt) = instance.learnt.or(learnt) else { return };
         match Shedder::start(learnt.born, self.seed, self.settings.clone()) {
             Ok((mut shedder, decided)) => {
--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -16,7 +16,8 @@
         let (seed, settings) = (self.seed, self.settings.clone());
         let born = (self.seconds() - up).max(0.0);
         match catch_unwind(|| Shedder::start(born, seed, settings)) {
-            Ok(Ok((shedder, decided))) => {
+            Ok(Ok((mut shedder, decided))) => {
+                shedder.believe(self.beliefs.clone());
                 self.shedder = Some(shedder);
                 self.carry_out(decided);
             }
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use merlinshelf::{Settings, Shedder};
+use merlinshelf::{Beliefs, Learnt, Settings, Shedder};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
@@ -87,6 +87,10 @@
     passing: Option<mpsc::UnboundedSender<Passing>>,
     /// Commands that were on the link when another process left it.
     inherited: Vec<(Command, u64)>,
+    /// What is believed on the word of others, for whichever module runs.
+    beliefs: Beliefs,
+    /// What is known, in the form of its file, for whoever carries this on.
+    pub knowledge: Vec<u8>,
     pub counters: Counters,
 }
 
@@ -150,6 +154,8 @@
             journal: None,
             passing: None,
             inherited: Vec::new(),
+            beliefs: Beliefs::default(),
+            knowledge: Vec::new(),
             counters: Counters::default(),
         })
     }
@@ -192,6 +198,21 @@
         self.left.clone()
     }
 
+    /// What the module has learnt by now, and its clock; none while the engine was never up.
+    pub fn learnt(&self) -> Option<(f64, Learnt)> {
+        self.shedder.as_ref().map(|shedder| (self.seconds(), shedder.learnt()))
+    }
+
+    /// What is believed on the word of others from here on.
+    pub fn believe(&mut self, beliefs: Beliefs) {
+        if beliefs != self.beliefs {
+            if let Some(shedder) = &mut self.shedder {
+                shedder.believe(beliefs.clone());
+            }
+            self.beliefs = beliefs;
+        }
+    }
+
     pub fn in_hand(&self) -> usize {
         self.hand.len()
     }
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -27,6 +27,7 @@
 use crate::fault;
 use crate::instance::{Instance, Prepared};
 use crate::journal::Journal;
+use crate::learning::Learning;
 use crate::logger;
 use crate::operator::Operator;
 use crate::server;
@@ -109,6 +110,8 @@
     peers: Peers,
     began: Instant,
     instance: Option<Instance>,
+    /// Off where the operators' file does not switch it on.
+    learning: Option<Learning>,
     leaving: Option<Leaving>,
     // towards a successor
     keeper: Keeper,
@@ -163,6 +166,7 @@
             heir: elder.as_ref().map(|_| Heir::new(upgrade.watched(), VERSION)),
             start,
             peers: config.peers,
+            learning: operator.learning.clone().map(|of| Learning::new(&config.name, &config.settings, of)),
             config,
             operator,
             began: Instant::now(),
@@ -199,6 +203,7 @@
             let listener = server::listen(self.config.listen)?;
             info!("{} listens on {}", self.config.name, self.config.listen);
             self.instance = Some(Prepared::fresh(exchange, listener).go(&self.config, self.peers));
+            self.learn();
             self.open_control()?;
         }
         let status = loop {
@@ -446,6 +451,7 @@
                         self.config.name
                     );
                     self.instance = Some(prepared.go(&self.config, self.peers));
+                    self.learn();
                 }
                 self.try_control();
             }
@@ -481,6 +487,10 @@
 
     async fn freeze(&mut self) -> Result<(), String> {
         let instance = self.instance.take().ok_or("nothing serves here")?;
+        if let Some(learning) = &mut self.learning {
+            learning.stop();
+            instance.exchange.borrow_mut().knowledge = learning.pass_on();
+        }
         let (frozen, listener) = instance.freeze().await?;
         // The accepting task is gone, and with it the other holder.
         let listener = Rc::try_unwrap(listener).map_err(|_| "the listener is still in use")?;
@@ -502,6 +512,10 @@
         let instance = prepared.go(&self.config, self.peers);
         instance.exchange.borrow_mut().counters.taken_back += 1;
         self.instance = Some(instance);
+        if let Some(learning) = &mut self.learning {
+            learning.taken_back();
+        }
+        self.learn();
         self.try_control();
         info!(
             connections = edges, calls = lines, in_hand = hand, broken = broken;
@@ -550,6 +564,9 @@
         let left = Duration::from_secs_f64((stop - monotonic()).clamp(0.0, 1e6));
         let in_hand = instance.exchange.borrow().in_hand();
         info!("notice to leave: {in_hand} in hand, {} ms left", left.as_millis());
+        if let Some(learning) = &mut self.learning {
+            learning.leave();
+        }
         self.leaving = Some(Box::pin(instance.leaving(Instant::now() + left)));
     }
 
@@ -570,6 +587,14 @@
         }
     }
 
+    /// Learns beside the service, where that is switched on.
+    fn learn(&mut self) {
+        if let (Some(learning), Some(instance)) = (&mut self.learning, &self.instance) {
+            let past = std::mem::take(&mut instance.exchange.borrow_mut().knowledge);
+            learning.go(&instance.exchange, past);
+        }
+    }
+
     fn open_control(&mut self) -> io::Result<()> {
         if let Some(settings) = &self.operator.control {
             self.control = Some(control::open(&settings.socket, self.requests.0.clone())?);
@@ -595,6 +620,12 @@
                     "told": !before, "text": said, "stop_ms": self.config.stop.as_millis() as u64, "status": status,
                 }));
             }
+            Asked::Knowledge(reply) => {
+                _ = reply.send(self.learning.as_ref().map(Learning::knowledge));
+            }
+            Asked::Forget(origin, reply) => {
+                _ = reply.send(self.learning.as_mut().map(|learning| learning.forget(origin.as_deref())));
+            }
             Asked::Upgrade(progress) => {
                 let lacking = self.lacking();
                 let before = self.asked.replace(progress);
@@ -662,6 +693,7 @@
             "connections": exchange.as_ref().map(|exchange| exchange.doors_open()),
             "memory_kb": memory_kb,
             "descriptors": descriptors,
+            "learning": self.learning.as_ref().map(Learning::status),
             "counters": exchange.as_ref().map(|exchange| exchange.counters.by_name()),
         })
     }
--- a/crates/merlinshelf-backend/src/learning/folder.rs
+++ b/crates/merlinshelf-backend/src/learning/folder.rs
@@ -8,8 +8,9 @@
 
 use merlinshelf_knowledge::Told;
 use merlinshelf_knowledge::log::Flaw;
-use merlinshelf_knowledge::store::{FILE, Files, Found, LENGTH_MOST, Store};
+use merlinshelf_knowledge::store::{Files, Found, LENGTH_MOST, Store};
 use rustix::fs::{FlockOperation, flock};
+use rustix::io::Errno;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::exchange::unix_ms;
@@ -55,7 +56,7 @@
 
 fn keep(path: &Path, work: &Receiver<Job>, tell: &UnboundedSender<Came>) {
     let mut held: Option<(Disk, Store)> = None;
-    let mut open = || -> io::Result<(Disk, Store)> {
+    let open = || -> io::Result<(Disk, Store)> {
         let mut disk = Disk::lock(path)?;
         let opened = Store::open(&mut disk);
         let (mut store, found) = match opened {
@@ -148,8 +149,10 @@
     fn lock(folder: &Path) -> io::Result<Disk> {
         std::fs::create_dir_all(folder)?;
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join("lock"))?;
-        flock(&lock, FlockOperation::NonBlockingLockExclusive)
-            .map_err(|error| io::Error::new(error.into(), "another process holds the folder"))?;
+        flock(&lock, FlockOperation::NonBlockingLockExclusive).map_err(|error| match error {
+            Errno::WOULDBLOCK => io::Error::other("another process holds the folder"),
+            error => error.into(),
+        })?;
         Ok(Disk { folder: folder.to_path_buf(), _lock: lock })
     }
 
@@ -195,8 +198,3 @@
         File::open(&self.folder)?.sync_all()
     }
 }
-
-/// The file's path in a folder, for reports.
-pub fn file_of(folder: &Path) -> PathBuf {
-    folder.join(FILE)
-}
--- a/crates/merlinshelf-backend/src/lib.rs
+++ b/crates/merlinshelf-backend/src/lib.rs
@@ -11,6 +11,7 @@
 mod host;
 mod instance;
 mod journal;
+pub mod learning;
 pub mod logger;
 pub mod operator;
 mod ring;
--- a/crates/merlinshelf-backend/src/logger.rs
+++ b/crates/merlinshelf-backend/src/logger.rs
@@ -86,6 +86,7 @@
 fn part(target: &str) -> &str {
     match target.rsplit("::").next().unwrap_or("") {
         "host" | "instance" | "guard" | "control" => "merlinshelf",
+        "folder" | "peers" => "learning",
         part => part,
     }
 }
--- a/crates/merlinshelf-cli/src/main.rs
+++ b/crates/merlinshelf-cli/src/main.rs
@@ -9,6 +9,7 @@
 }
 
 mod check;
+mod knowledge;
 mod remote;
 
 use std::path::PathBuf;
@@ -79,11 +80,53 @@
                       Example:\n  merlinshelf upgrade --control /run/merlinshelf/n0.control"
     )]
     Upgrade(Remote),
+    /// What an instance knows of the servers behind it, from whom and how old
+    Knowledge {
+        #[command(subcommand)]
+        what: Knowledge,
+    },
     /// Print completions for a shell
     #[command(after_help = "Example:\n  merlinshelf completions bash > /etc/bash_completion.d/merlinshelf")]
     Completions { shell: Shell },
 }
 
+#[derive(Subcommand)]
+enum Knowledge {
+    /// Print a table with ages and origins
+    #[command(
+        after_help = "Examples:\n  merlinshelf knowledge show --control /run/merlinshelf/n0.control\n  \
+                      merlinshelf knowledge show --folder /var/lib/merlinshelf/n0"
+    )]
+    Show(Known),
+    /// Print one JSON object a line
+    #[command(
+        after_help = "Example:\n  merlinshelf knowledge export --control /run/merlinshelf/n0.control > n0.jsonl"
+    )]
+    Export(Known),
+    /// Forget what was told, by one origin or by all; what was seen here stays
+    #[command(
+        after_help = "Example:\n  merlinshelf knowledge forget --control /run/merlinshelf/n0.control --origin n3"
+    )]
+    Forget {
+        #[command(flatten)]
+        remote: Remote,
+        /// The name of the instance that has seen it; absent: all others
+        #[arg(long)]
+        origin: Option<String>,
+    },
+}
+
+#[derive(Args)]
+#[group(required = true, multiple = false)]
+struct Known {
+    /// The instance's control socket
+    #[arg(long, value_name = "SOCKET", env = "MERLINSHELF_CONTROL", value_hint = ValueHint::FilePath)]
+    control: Option<PathBuf>,
+    /// The folder in which an instance keeps it, also one that does not run
+    #[arg(long, value_name = "FOLDER", value_hint = ValueHint::DirPath)]
+    folder: Option<PathBuf>,
+}
+
 #[derive(Args)]
 struct Files {
     /// The platform's configuration, in JSON
@@ -131,6 +174,15 @@
         Command::Status(remote) => remote::status(&remote.control, remote.json),
         Command::Drain { remote, wait } => remote::drain(&remote.control, remote.json, wait),
         Command::Upgrade(remote) => remote::upgrade(&remote.control, remote.json),
+        Command::Knowledge { what: Knowledge::Show(Known { control, folder }) } => {
+            knowledge::show(control.as_deref(), folder.as_deref())
+        }
+        Command::Knowledge { what: Knowledge::Export(Known { control, folder }) } => {
+            knowledge::export(control.as_deref(), folder.as_deref())
+        }
+        Command::Knowledge { what: Knowledge::Forget { remote, origin } } => {
+            knowledge::forget(&remote.control, origin.as_deref(), remote.json)
+        }
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "merlinshelf", &mut std::io::stdout());
             ExitCode::SUCCESS
--- a/crates/merlinshelf-cli/src/remote.rs
+++ b/crates/merlinshelf-cli/src/remote.rs
@@ -12,29 +12,33 @@
 use crate::FAILED;
 
 /// An instance answers at once; only an upgrade takes its time between two words.
-const WITHIN: Duration = Duration::from_secs(10);
+pub const WITHIN: Duration = Duration::from_secs(10);
 const UPGRADE_WITHIN: Duration = Duration::from_secs(2 * 3600);
 /// Between two looks at whether an instance has left.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-struct Talk {
+pub struct Talk {
     stream: UnixStream,
     come: Vec<u8>,
 }
 
 impl Talk {
-    fn ask(socket: &Path, question: Question, within: Duration) -> io::Result<Talk> {
+    pub fn ask(socket: &Path, question: Question, within: Duration) -> io::Result<Talk> {
+        Talk::ask_with(socket, question, &json!({}), within)
+    }
+
+    pub fn ask_with(socket: &Path, question: Question, body: &Value, within: Duration) -> io::Result<Talk> {
         let mut stream = UnixStream::connect(socket)?;
         stream.set_read_timeout(Some(within))?;
         stream.set_write_timeout(Some(WITHIN))?;
         let mut bytes: Vec<u8> = Vec::new();
-        control::ask(&mut bytes, question, b"{}");
+        control::ask(&mut bytes, question, body.to_string().as_bytes());
         stream.write_all(&bytes)?;
         Ok(Talk { stream, come: Vec::new() })
     }
 
     /// The next word and its report.
-    fn next(&mut self) -> io::Result<(Word, Value)> {
+    pub fn next(&mut self) -> io::Result<(Word, Value)> {
         loop {
             match control::word(&self.come) {
                 Ok(Some(((form, word, body), count))) => {
@@ -59,7 +63,7 @@
     }
 }
 
-fn failed(socket: &Path, error: &io::Error, as_json: bool) -> ExitCode {
+pub fn failed(socket: &Path, error: &io::Error, as_json: bool) -> ExitCode {
     if as_json {
         tell!("{}", json!({ "failed": error.to_string(), "control": socket }));
     }
@@ -88,7 +92,7 @@
     let mut page = String::new();
     for (name, value) in report.as_object().into_iter().flatten() {
         match value {
-            Value::Object(counters) => {
+            Value::Object(counters) if name == "counters" => {
                 let counted = counters.iter().filter(|(_, count)| count.as_u64() != Some(0));
                 page.extend(counted.map(|(name, count)| format!("  {name}: {count}\n")));
             }
@@ -99,7 +103,7 @@
     page
 }
 
-fn text(report: &Value) -> String {
+pub fn text(report: &Value) -> String {
     report["text"].as_str().map_or_else(|| report.to_string(), str::to_owned)
 }
 
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -30,6 +30,8 @@
     pub counters: BTreeMap<String, u64>,
     /// None while the engine was never up.
     pub learnt: Option<Learnt>,
+    /// What is known of the servers behind and from whom, in the form of its file (`merlinshelf-knowledge`).
+    pub knowledge: ByteBuf,
 }
 
 /// The engine's link.
--- a/crates/merlinshelf-knowledge/src/book.rs
+++ b/crates/merlinshelf-knowledge/src/book.rs
@@ -63,7 +63,9 @@
     /// happens a figure grows old.
     pub fn see(&mut self, now: f64, subject: Subject, value: f64, count: u32, age: f64, standing: Standing) {
         let known = self.figures.get(&subject).and_then(|all| all.get(&self.own));
-        if known.is_some_and(|known| known.value == value && known.count == count) || !value.is_finite() {
+        // What can't be is a fault of a clock or of a sum, and is not told to others either.
+        let same = known.is_some_and(|known| known.value == value && known.count == count);
+        if same || !subject.can_be(value) {
             return;
         }
         let now = now - age.max(0.0);
@@ -228,5 +230,5 @@
     let sure = samples / (samples + HALF_SURE);
     let fresh = 0.5_f64.powf((now - figure.seen).max(0.0) / subject.half_life());
     let way = 0.5_f64.powi(i32::from(figure.hops.saturating_sub(1)));
-    sure * fresh * way * figure.standing.trust()
+    sure * fresh * way * figure.standing.trust(subject)
 }
--- a/crates/merlinshelf-knowledge/src/fact.rs
+++ b/crates/merlinshelf-knowledge/src/fact.rs
@@ -74,15 +74,22 @@
         }
     }
 
+    /// Whether such a figure can have this value.
+    pub fn can_be(&self, value: f64) -> bool {
+        let (least, most) = self.bounds();
+        value.is_finite() && (least..=most).contains(&value)
+    }
+
     /// After how many seconds a figure tells half as much. What a server can do at best changes with its releases, what it
-    /// does lately with the minute, and whether it fails with the second.
+    /// does lately with the minute, and whether it fails with some seconds.
     pub fn half_life(&self) -> f64 {
         match self {
             Subject::RunLowest { .. } | Subject::CallLowest { .. } => 600.0,
             Subject::RunRecent { .. } | Subject::Limit { .. } => 60.0,
             Subject::CallersAgain | Subject::CallersBack => 60.0,
             Subject::CallRecent { .. } | Subject::CallLimit { .. } | Subject::RunBelow { .. } => 20.0,
-            Subject::CallFailures { .. } => 2.0,
+            // Longer than the second in which it is seen: to believe it in vain costs one trial, not to believe it an outage.
+            Subject::CallFailures { .. } => 10.0,
         }
     }
 
@@ -167,10 +174,12 @@
         all.into_iter().find(|one| one.name() == name)
     }
 
-    /// How much of a figure's weight counts. Leaving says nothing of what was seen before.
-    pub fn trust(self) -> f64 {
+    /// How much of the weight of a figure of this subject counts. Leaving says nothing of what was seen before; that calls
+    /// fail is seen at first hand by who recovers from it.
+    pub fn trust(self, subject: &Subject) -> f64 {
         match self {
             Standing::Steady | Standing::Leaving => 1.0,
+            Standing::Recovering if matches!(subject, Subject::CallFailures { .. }) => 1.0,
             Standing::Recovering => 0.25,
             Standing::JustTaught => 0.1,
         }
@@ -232,9 +241,8 @@
 impl Told {
     /// Whether it can be true at all.
     pub fn check(&self, own: &Origin) -> Result<(), Unbelievable> {
-        let (least, most) = self.subject.bounds();
         let name = |name: &str| !name.is_empty() && name.len() <= NAME_MOST;
-        if !self.value.is_finite() || self.value < least || self.value > most {
+        if !self.subject.can_be(self.value) {
             Err(Unbelievable::Value)
         } else if !self.age.is_finite() || !(0.0..=AGE_MOST).contains(&self.age) {
             Err(Unbelievable::Age)
--- a/crates/merlinshelf-knowledge/src/learner.rs
+++ b/crates/merlinshelf-knowledge/src/learner.rs
@@ -55,7 +55,7 @@
     pub unbelievable: u64,
 }
 
-/// A start is in a hurry for so long, or until it was taught by so many.
+/// A start is in a hurry for so long, or until it was taught by so many or by all that are there.
 const HURRY_FOR: f64 = 3.0;
 const HURRY_UNTIL: usize = 3;
 /// Who has run for less is still recovering in what it sees.
@@ -143,7 +143,8 @@
     }
 
     fn in_hurry(&self, now: f64) -> bool {
-        now < self.began + HURRY_FOR && self.lessons.len() < HURRY_UNTIL && !self.leaves
+        let taught_by_all = self.lessons.len() >= HURRY_UNTIL.min(self.members.alive().count().max(1));
+        now < self.began + HURRY_FOR && !taught_by_all && !self.leaves
     }
 
     /// What the module has learnt by now, on its clock.
@@ -236,6 +237,8 @@
             let told = self.weighed(answer, told.clone());
             match self.book.hear(now, told) {
                 Ok(()) => taken += 1,
+                // Who knows one tells it what it has seen itself, too.
+                Err(Unbelievable::Echo) => {}
                 Err(why) => *odd.entry(why).or_default() += 1,
             }
         }
@@ -259,7 +262,7 @@
     /// origin over fewer hops than are between: only of oneself one tells over one.
     fn weighed(&self, answer: &Message, mut told: Told) -> Told {
         if told.origin.name == answer.from.name {
-            if answer.standing.trust() < told.standing.trust() {
+            if answer.standing.trust(&told.subject) < told.standing.trust(&told.subject) {
                 told.standing = answer.standing;
             }
         } else {
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -39,9 +39,12 @@
 #[derive(Clone, Debug)]
 pub struct Sent {
     pub at: Instant,
+    pub operation: String,
     /// When each answer came, and its status.
     pub answers: Vec<(Instant, u16)>,
     body: Vec<u8>,
+    /// Served without the call that its run wanted to make.
+    pub poorer: bool,
     /// A served answer that is none that the run of this invocation made.
     spoilt: bool,
 }
@@ -130,7 +133,15 @@
                 &[("HTTP_X_CALL_ID", &id), ("HTTP_X_PATIENCE_MS", &patience), ("HTTP_X_IMPORTANCE", &rank)],
             );
             open.borrow_mut().insert(tag, id.clone());
-            let sent = Sent { at: Instant::now(), answers: Vec::new(), body, spoilt: false };
+            let operation = operation.clone();
+            let sent = Sent {
+                at: Instant::now(),
+                operation,
+                answers: Vec::new(),
+                body,
+                poorer: false,
+                spoilt: false,
+            };
             seen.borrow_mut().sent.insert(id, sent);
             let _ = writer.send((tag, bytes));
         }
@@ -156,6 +167,11 @@
 }
 
 impl Playing {
+    /// Stops sending, and lets what is open be.
+    pub fn leave(self) {
+        self.seen.borrow_mut().closing = true;
+    }
+
     /// Stops sending and waits for the answers to what is open.
     pub async fn stop(self) -> Shared {
         self.seen.borrow_mut().closing = true;
@@ -258,6 +274,7 @@
                     let body = out.windows(4).position(|four| four == b"\r\n\r\n").map(|at| &out[at + 4..]);
                     let made = result_of(&id, &sent.body);
                     sent.spoilt |= status == 200 && !body.is_some_and(|body| body.starts_with(&made));
+                    sent.poorer |= body.is_some_and(|body| body.ends_with(b", poorer"));
                     sent.answers.push((Instant::now(), status));
                 }
             }
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -69,6 +69,29 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// What being taught is worth, what bad teachers cost, what it costs a fleet, and what crashes leave
+    #[command(after_help = "Example:\n  merlinshelf-lab trial learning --seed 17 --seeds 20 --at-once 4")]
+    Learning {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds are played, from this one on
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Plays at one time; each takes about a core
+        #[arg(long, default_value_t = 3)]
+        at_once: u8,
+        /// Sizes of fleets that are played in virtual time
+        #[arg(long, value_delimiter = ',', default_values_t = [16, 300, 3000])]
+        fleets: Vec<usize>,
+        /// How often each case of what teaching costs the teacher is played
+        #[arg(long, default_value_t = 5)]
+        costs: u64,
+        /// Operations on files at each of which a life ends, and the next one, too
+        #[arg(long, default_value_t = 40)]
+        crashes: u32,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Service after an upgrade under load, against a drain and a cold start of another program
     Restart {
         /// The other program, for instance the version before
@@ -147,6 +170,13 @@
             let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
             local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
         }
+        Command::Trial {
+            trial: Trial::Learning { seed, seeds, at_once, fleets, costs, crashes, program },
+        } => {
+            let program = found(program)?;
+            let plan = trial::learning::Plan { seed, seeds, at_once, program, fleets, costs, crashes };
+            trial::learning::run(&plan).map(|(_, holds)| holds)
+        }
         Command::Trial { trial: Trial::Restart { against, seed, rate, seconds, program } } => {
             let (setup, looked) =
                 (setup(found(program)?, 64, Duration::from_millis(800)), Duration::from_secs(seconds));
--- /dev/null
+++ b/crates/merlinshelf-lab/src/trial/learning/fleet.rs
@@ -0,0 +1,236 @@
+//! Many learners in virtual time, with a network between them: what one costs, and how fast all know of a change.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use merlinshelf::{Learnt, LearntOfOperation};
+use merlinshelf_knowledge::learner::{Learner, Settings, Step};
+use merlinshelf_knowledge::{Message, Scope, State, members};
+use merlinshelf_protocol::teaching::{Kind, put_message};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// What a fleet came to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fleet {
+    /// Questions and answers, and their bytes, a peer and second, once all know each other.
+    pub messages: f64,
+    pub bytes: f64,
+    /// Until all that live know that one has died without a word.
+    pub known_s: f64,
+    pub memory_kb: f64,
+}
+
+enum What {
+    Wake(usize),
+    Question { from: usize, to: usize, message: Box<Message> },
+    Answer { to: usize, message: Box<Message> },
+}
+
+/// Learners and the network between them; moments in seconds.
+pub struct World {
+    pub now: f64,
+    pub learners: Vec<Option<Learner>>,
+    queue: BinaryHeap<Reverse<(u64, usize)>>,
+    what: Vec<Option<What>>,
+    free: Vec<usize>,
+    rng: Pcg64Mcg,
+    /// To which part of a parted network each belongs.
+    pub part: Vec<u8>,
+    pub messages: u64,
+    pub bytes: u64,
+    /// Every so many messages are measured.
+    measured: u64,
+}
+
+pub fn scope() -> Scope {
+    Scope {
+        engine: "e".into(),
+        dependency: "d".into(),
+        operations: (0..8).map(|place| format!("operation-{place}")).collect(),
+        keep_idle: Some(30),
+    }
+}
+
+/// What a module has learnt that has seen so many runs of each operation, at this speed.
+pub fn learnt(runs: usize, clock: f64, speed: f64) -> Learnt {
+    let samples = |value: f64| -> VecDeque<f64> { (0..runs.min(24)).map(|_| value).collect() };
+    let of = |place: usize| LearntOfOperation {
+        runs: samples(0.01 * speed * (place + 1) as f64),
+        costs: samples(1.0),
+        below: samples(0.005),
+        lowest: 0.008 * speed,
+        until_probe: 100.0,
+    };
+    Learnt {
+        operations: (0..8).map(of).collect(),
+        limit: 16.0,
+        progress: clock,
+        calls: [(clock - 0.01, clock)].into(),
+        call_times: samples(0.004),
+        call_lowest: 0.003,
+        call_limit: 4.0,
+        agains: samples(0.0),
+        gaps: samples(1.0),
+        ..Learnt::default()
+    }
+}
+
+pub fn settings(number: usize, seeds: &[usize]) -> Settings {
+    Settings {
+        name: format!("n{number}"),
+        address: number.to_string(),
+        seeds: seeds.iter().map(usize::to_string).collect(),
+        scope: scope(),
+        share: 0.01,
+        members: members::Settings::default(),
+    }
+}
+
+impl World {
+    pub fn new(count: usize, seed: u64) -> World {
+        let learners = (0..count).map(|number| Some(Learner::new(0.0, 1, settings(number, &[0, 1, 2]))));
+        let mut world = World {
+            now: 0.0,
+            learners: learners.collect(),
+            queue: BinaryHeap::new(),
+            what: Vec::new(),
+            free: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            part: vec![0; count],
+            messages: 0,
+            bytes: 0,
+            measured: 1,
+        };
+        (0..count).for_each(|number| world.at(0.0, What::Wake(number)));
+        world
+    }
+
+    /// Another life begins in this place.
+    pub fn begin(&mut self, number: usize, life: u64) {
+        self.learners[number] = Some(Learner::new(self.now, life, settings(number, &[0, 1, 2])));
+    }
+
+    fn at(&mut self, at: f64, what: What) {
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.what.push(None);
+            self.what.len() - 1
+        });
+        self.what[place] = Some(what);
+        self.queue.push(Reverse(((at * 1e6) as u64, place)));
+    }
+
+    fn send(&mut self, from: usize, to: usize, kind: Kind, message: &Message, what: What) {
+        self.messages += 1;
+        if self.messages.is_multiple_of(self.measured) {
+            let mut bytes: Vec<u8> = Vec::new();
+            put_message(&mut bytes, kind, message);
+            self.bytes += bytes.len() as u64 * self.measured;
+        }
+        let delay = 0.001 + 0.004 * self.rng.random::<f64>();
+        if self.learners.get(to).is_some_and(Option::is_some) && self.part[from] == self.part[to] {
+            self.at(self.now + delay, what);
+        }
+    }
+
+    /// Lets everything happen until then.
+    pub fn until(&mut self, end: f64) {
+        while let Some(&Reverse((at, place))) = self.queue.peek() {
+            if at as f64 / 1e6 > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at as f64 / 1e6;
+            self.free.push(place);
+            match self.what[place].take() {
+                Some(What::Wake(number)) => self.wake(number),
+                Some(What::Question { from, to, message }) => {
+                    let now = self.now;
+                    let Some(one) = &mut self.learners[to] else { continue };
+                    let Some(answer) = one.asked(now, &message) else { continue };
+                    one.spent(2e-5);
+                    let what = What::Answer { to: from, message: Box::new(answer.clone()) };
+                    self.send(to, from, Kind::Tell, &answer, what);
+                }
+                Some(What::Answer { to, message }) => {
+                    let now = self.now;
+                    if let Some(one) = &mut self.learners[to] {
+                        one.answered(now, &message);
+                    }
+                }
+                None => {}
+            }
+        }
+        self.now = end;
+    }
+
+    fn wake(&mut self, number: usize) {
+        let (now, rng) = (self.now, &mut self.rng);
+        // One that is gone may come back.
+        let Some(one) = &mut self.learners[number] else { return self.at(now + 1.0, What::Wake(number)) };
+        let steps = one.woken(now, &mut || rng.random());
+        let wake = one.wake_at().unwrap_or(now + 1.0);
+        for Step::Ask { address, question } in steps {
+            let Ok(to) = address.parse() else { continue };
+            let what = What::Question { from: number, to, message: Box::new(question.clone()) };
+            self.send(number, to, Kind::Ask, &question, what);
+        }
+        self.at(wake.max(now + 1e-4), What::Wake(number));
+    }
+
+    /// All see what a steady module has learnt.
+    pub fn all_see(&mut self, runs: usize, speed: f64) {
+        let (now, learnt) = (self.now, learnt(runs, self.now, speed));
+        self.learners.iter_mut().flatten().for_each(|one| one.see(now, now, &learnt));
+    }
+
+    /// Goes on until all that live say so, at most so long; when that was.
+    pub fn when(&mut self, most: f64, all: impl Fn(&Learner) -> bool) -> Option<f64> {
+        let end = self.now + most;
+        while self.now < end {
+            let next = self.now + 0.5;
+            self.until(next);
+            if self.learners.iter().flatten().all(&all) {
+                return Some(self.now);
+            }
+        }
+        None
+    }
+}
+
+fn memory_kb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("");
+    line.trim().split(' ').next().and_then(|kb| kb.parse().ok()).unwrap_or(0.0)
+}
+
+/// All start at once, meet, go on for a while, and one dies.
+pub fn play(count: usize, seed: u64) -> Fleet {
+    let before = memory_kb();
+    let mut world = World::new(count, seed);
+    world.measured = if count > 1000 { 97 } else { 1 };
+    world.all_see(24, 1.0);
+    // Half of all know nearly all: the tables of the largest fleets fill slowly, and no figure waits for that.
+    let met = |one: &Learner| one.members().alive().count() * 10 >= (count - 1) * 9;
+    let _ = world.when(240.0, met);
+    world.until(world.now + 10.0);
+    let (from, messages, bytes) = (world.now, world.messages, world.bytes);
+    for _ in 0..10 {
+        world.until(world.now + 1.0);
+        world.all_see(24, 1.0 + world.now / 1e6);
+    }
+    let seconds = (world.now - from) * count as f64;
+    let (messages, bytes) = (world.messages - messages, world.bytes - bytes);
+    let memory = (memory_kb() - before) / count as f64;
+    let dead = count / 2;
+    world.learners[dead] = None;
+    let (began, name) = (world.now, format!("n{dead}"));
+    let knows = |one: &Learner| one.members().state_of(&name).is_none_or(|state| state >= State::Left);
+    let known = world.when(300.0, knows).unwrap_or(f64::INFINITY) - began;
+    Fleet {
+        messages: messages as f64 / seconds,
+        bytes: bytes as f64 / seconds,
+        known_s: known,
+        memory_kb: memory,
+    }
+}
--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -228,7 +228,7 @@
                 (self.call_lowest, self.call_probe) = (word.value, 24); // then taken anew from own ones
             }
             if beliefs.call_failures.is_some_and(|word| word.value >= 5.0 && word.weight > 0.2) {
-                (self.call_failures, self.call_failed_at) = (5, self.now); // one trial tells whether it holds
+                (self.call_failures, self.call_failed_at) = (5, self.now - 0.5); // one trial, at once
             }
         }
         if let Some(word) = beliefs.limit.filter(|_| self.ops.iter().all(|op| op.runs.is_empty())) {
@@ -608,7 +608,7 @@
     /// Expected run time of an operation by unit of cost, by its last runs. Those that now last twice as long
     /// count too: sudden slowness shows before one ends; harm: a long run by chance makes the next look long.
     fn rate(&self, op: usize) -> f64 {
-        let (value, weight) = told(self.ops[op].runs.len(), self.beliefs.runs.get(op).copied().flatten());
+        let (value, weight) = told(self.ops[op].runs.len(), self.word(op));
         let of = weight * if self.ops[op].costs.is_empty() { 1.0 } else { mean(&self.ops[op].costs) };
         let mut took = self.ops[op].runs.iter().sum::<f64>() + value * of;
         let mut cost = (self.ops[op].costs.iter().sum::<f64>() + of).max(1e-9);
@@ -625,17 +625,24 @@
     fn core_time(&self, it: &Inv) -> f64 {
         // Unsampled: by the hint, longer while cold. Guards successors in a rush; harm: fast ones refuse.
         let op = it.told.operation;
-        let unknown = self.ops[op].runs.is_empty() && self.beliefs.runs.get(op).is_none_or(Option::is_none);
+        let unknown = self.ops[op].runs.is_empty() && self.word(op).is_none();
         let least = if unknown && it.told.cost.is_some() { 1.0 / self.warmth().max(0.1) } else { 0.0 };
         self.rates[op].max(least) * it.told.cost.unwrap_or(1.0)
     }
 
     fn whole_time(&self, it: &Inv) -> f64 {
-        self.core_time(it) + self.below(it.told.operation)
+        self.core_time(it) + mean(&self.ops[it.told.operation].below)
     }
 
-    fn below(&self, op: usize) -> f64 {
-        mean_beside(&self.ops[op].below, self.beliefs.below.get(op).copied().flatten())
+    /// What others say of an operation, as long as it is to be heeded: not once own runs are twice off, and of
+    /// one not seen yet only while a run tries one of these. Else a lie would keep it from running.
+    fn word(&self, op: usize) -> Option<Believed> {
+        let word = (*self.beliefs.runs.get(op)?)?;
+        let (took, cost) = (&self.ops[op].runs, &self.ops[op].costs);
+        let off = took.iter().sum::<f64>() / cost.iter().sum::<f64>() / word.value; // no number if none
+        let tries = |it: &Inv| it.ran && self.ops[it.told.operation].runs.is_empty();
+        let heeded = if took.is_empty() { self.count(tries) > 0 } else { (0.5..2.0).contains(&off) };
+        heeded.then_some(word)
     }
 
     /// Whether this arrival is over its customer's share: by chance, in proportion, once it clearly is here.
@@ -768,7 +775,8 @@
         let dearest = LazyCell::new(|| stakes().fold(f64::NEG_INFINITY, f64::max));
         self.first(|it| {
             let op = &self.ops[it.told.operation];
-            let late = || self.now + self.below(it.told.operation) + 0.5 * self.core_time(it) > it.by;
+            let below = mean_beside(&op.below, self.beliefs.below.get(it.told.operation).copied().flatten());
+            let late = || self.now + below + 0.5 * self.core_time(it) > it.by;
             let short = || *kept || *full && *dearest > self.stake(it);
             let skip = || !self.may_call(it) || *breaker || late() || short();
             it.stage == Stage::AtCall && !it.answered && op.skip_value > 0.0 && skip()
--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -3,7 +3,7 @@
 mod helpers;
 
 use helpers::{LOST, OK, UNSEEN, inv, play};
-use merlinshelf::{Invocation, Outcome};
+use merlinshelf::{Beliefs, Believed, Invocation, Outcome};
 
 #[test]
 fn over_the_limit_low_bands_are_cut_on_arrival() {
@@ -435,3 +435,103 @@
     let settings = [("FamilyInfo.Cores".to_owned(), "six".to_owned())].into();
     insta::assert_snapshot!(merlinshelf::Shedder::start(0.0, 1, settings).err().unwrap_or_default());
 }
+
+fn word(value: f64, weight: f64) -> Option<Believed> {
+    Some(Believed { value, weight })
+}
+
+#[test]
+fn told_of_an_outage_below_the_first_call_is_a_trial_at_once_and_ends_it_if_it_goes_well() {
+    for (weight, outcome) in [(0.6, OK), (0.6, LOST), (0.1, OK)] {
+        let mut play = play(&[("FamilyInfo.CallShare", "20"), ("FamilyInfo.Cores", "8")]);
+        play.shedder.believe(Beliefs { call_failures: word(9.0, weight), ..Beliefs::default() });
+        for number in 0..3 {
+            play.arrive(0.0, number, inv(0));
+            play.wants(0.01, number);
+        }
+        play.called(0.03, 0, outcome);
+        // Told again, it is no news any more.
+        play.shedder.believe(Beliefs { call_failures: word(12.0, weight), ..Beliefs::default() });
+        play.arrive(0.04, 3, inv(0));
+        play.wants(0.05, 3);
+        insta::assert_snapshot!(format!("told_{weight}_{}", outcome.succeeded), play.trace);
+    }
+}
+
+#[test]
+fn what_is_told_of_runs_is_heeded_while_one_tries_it_and_dropped_once_that_was_twice_as_fast() {
+    let mut play = play(&[]);
+    play.shedder.believe(Beliefs { runs: vec![None, None, word(5.0, 0.7)], ..Beliefs::default() });
+    play.arrive(0.0, 0, inv(2));
+    play.arrive(0.01, 1, inv(2)); // told to last 5 s, against an aim of 1 s: turned away
+    play.end(0.05, 0, OK, 0.05);
+    play.arrive(0.06, 2, inv(2)); // seen to last 50 ms: the word is dropped
+    play.arrive(0.07, 3, inv(2));
+    play.end(0.09, 2, OK, 0.03);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn limits_start_from_what_is_told_and_own_samples_move_them() {
+    let told = Beliefs {
+        limit: word(6.0, 1.0),
+        call_limit: word(1e6, 1.0),
+        call_lowest: word(0.004, 0.7),
+        call_time: word(0.004, 0.7),
+        lowest: vec![word(0.02, 0.7); 3],
+        ..Beliefs::default()
+    };
+    let mut play = play(&[("FamilyInfo.CallShare", "20"), ("FamilyInfo.Cores", "2")]);
+    play.shedder.believe(told.clone());
+    let learnt = play.shedder.learnt();
+    // Within what the settings allow, whatever is told.
+    assert_eq!((learnt.limit, learnt.call_limit, learnt.call_lowest), (6.0, 16.0, 0.004));
+    // What is told is not passed on as seen.
+    assert!(learnt.operations.iter().all(|of| of.runs.is_empty()) && learnt.call_times.is_empty());
+    for number in 0..40 {
+        let at = 0.1 * number as f64;
+        play.arrive(at, number, inv(0));
+        play.wants(at + 0.01, number);
+        play.called(at + 0.03, number, OK);
+        play.end(at + 0.05, number, OK, 0.05);
+    }
+    play.shedder.believe(told);
+    let learnt = play.shedder.learnt();
+    assert!((0.019..0.021).contains(&learnt.call_lowest), "its own by now: {}", learnt.call_lowest);
+    assert!((0.029..0.031).contains(&learnt.operations[0].lowest), "{}", learnt.operations[0].lowest);
+    assert!(learnt.limit >= 2.0);
+}
+
+#[test]
+fn beside_eight_own_samples_nothing_that_was_told_counts() {
+    let lie = Beliefs {
+        runs: vec![word(0.06, 1.0); 3],
+        below: vec![word(500.0, 1.0); 3],
+        call_time: word(500.0, 1.0),
+        again: word(1.0, 1.0),
+        back: word(0.0, 1.0),
+        ..Beliefs::default()
+    };
+    let traces = [Beliefs::default(), lie].map(|beliefs| {
+        let mut play = play(&[("FamilyInfo.CallShare", "20"), ("FamilyInfo.CallerIdleUs", "30000000")]);
+        for number in 0..10 {
+            let at = 0.1 * number as f64;
+            play.arrive(at, number, inv(0));
+            play.wants(at + 0.01, number);
+            play.called(at + 0.03, number, OK);
+            play.end(at + 0.05, number, OK, 0.05);
+        }
+        play.shedder.believe(beliefs);
+        play.trace.clear();
+        for number in 10..20 {
+            play.arrive(1.0, number, inv(0));
+        }
+        for number in 10..20 {
+            play.wants(1.05, number);
+            play.end(1.1, number, OK, 0.1);
+        }
+        play.wake(1.3, 0.9);
+        play.trace
+    });
+    assert_eq!(traces[0], traces[1]);
+}
