--- /dev/null
+++ b/crates/merlinshelf-fleet/src/lib.rs
@@ -0,0 +1,20 @@
+//! Many instances on one host: what the operators want of them ([`wanted`]) against what is seen of each ([`instance`]), whether
+//! it fits the host ([`fit`]), and one plan at a time that changes several without taking too many out at once ([`plan`]).
+//! [`fleet`] puts them together and says what to do; [`record`] is what outlives the agent.
+//!
+//! Nothing here reads a clock, a process table or chance. Moments are seconds of the agent's monotonic clock.
+
+pub mod crashes;
+pub mod fit;
+pub mod fleet;
+pub mod history;
+pub mod instance;
+pub mod plan;
+pub mod record;
+pub mod wanted;
+
+pub use fleet::{Command, Fleet, Refusal, Selector, Step};
+pub use instance::{Identity, Instance, Report, State};
+pub use plan::{Plan, PlanState};
+pub use record::Record;
+pub use wanted::{Group, Host, Wanted};
--- a/crates/merlinshelf-lab/src/trial/learning/mod.rs
+++ b/crates/merlinshelf-lab/src/trial/learning/mod.rs
@@ -14,7 +14,7 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-use worth::{Steps, Teacher};
+use worth::{STEP, Steps, Teacher};
 
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -118,26 +118,40 @@
         });
     }
     let mut settled = BTreeMap::new();
-    println!("{:<16} {:>8} {:>17} {:>8}", "taught by", "settled", "90% of plays", "share");
+    println!(
+        "{:<16} {:>8} {:>19} {:>13} {:>8}",
+        "taught by", "settled", "90% of plays", "against cold", "share"
+    );
     for teacher in worth::ALL {
-        let (mut times, mut shares) = (Vec::new(), Vec::new());
+        let (mut times, mut shares, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
         for seed in plan.seed..plan.seed + plan.seeds {
             // What a steady one comes to under the same load is what all are held against.
             if let (Some(steady), Some(steps)) =
                 (found.get(&(true, seed, Teacher::Steady)), found.get(&(true, seed, teacher)))
             {
-                times.push(steps.settled(steady.steady()).as_secs_f64());
+                let settled = |steps: &Steps| steps.settled(steady.steady()).as_secs_f64();
+                times.push(settled(steps));
+                // Of the same seed, so that what the load does to all counts for none.
+                if let Some(cold) = found.get(&(true, seed, Teacher::Nobody)) {
+                    ratios.push(settled(steps) / settled(cold).max(STEP.as_secs_f64()));
+                }
                 shares.push(steps.steady());
             }
         }
         let ((median, low, high), (share, ..)) = (spread(&mut times), spread(&mut shares));
-        println!("{:<16} {median:>6.1} s {low:>7.1} to {high:>4.1} s {share:>8.3}", teacher.name());
-        settled.insert(teacher, median);
+        let ratio = spread(&mut ratios).0;
+        println!(
+            "{:<16} {median:>6.2} s {low:>8.2} to {high:>5.2} s {ratio:>13.3} {share:>8.3}",
+            teacher.name()
+        );
+        settled.insert(teacher, (median, ratio));
     }
-    let of = |teacher: Teacher| settled.get(&teacher).copied().unwrap_or(f64::NAN);
+    let of = |teacher: Teacher| settled.get(&teacher).map_or(f64::NAN, |(median, _)| *median);
     let cold = of(Teacher::Nobody);
     let taught = of(Teacher::Steady).max(of(Teacher::OwnFile));
-    let worst = settled.iter().filter(|(teacher, _)| teacher.is_bad()).map(|(_, of)| *of).fold(0.0, f64::max);
+    let bad = || settled.iter().filter(|(teacher, _)| teacher.is_bad());
+    let worst = bad().map(|(_, (median, _))| *median).fold(0.0, f64::max);
+    let worst_ratio = bad().map(|(_, (_, ratio))| *ratio).fold(0.0, f64::max);
     // Told of an outage where there is none: the first second, against a cold one's.
     let first = |teacher: Teacher| {
         let seeds = plan.seed..plan.seed + plan.seeds;
@@ -165,10 +179,10 @@
     println!("{} crashes, {} stores read back, {} wrong", crashes.crashes, crashes.read_back, crashes.wrong);
     let line = json!({
         "trial": "learning", "seed": plan.seed, "seeds": plan.seeds, "cold_s": cold, "taught_s": taught,
-        "worst_bad_teacher": worst, "calm_first_second": calm, "calm_first_second_lied_to": lied, "teacher": costs, "fleets": fleets, "crashes": crashes.crashes,
+        "worst_bad_teacher": worst, "worst_bad_teacher_against_cold": worst_ratio, "calm_first_second": calm, "calm_first_second_lied_to": lied, "teacher": costs, "fleets": fleets, "crashes": crashes.crashes,
         "stores_read_back": crashes.read_back, "stores_wrong": crashes.wrong,
     });
     println!("{line}");
-    let holds = crashes.wrong == 0 && taught <= 0.5 * cold && worst <= 1.05 * cold && lied >= 0.95 * calm;
+    let holds = crashes.wrong == 0 && taught <= 0.5 * cold && worst_ratio <= 1.05 && lied >= 0.95 * calm;
     Ok((line, holds))
 }
--- a/crates/merlinshelf-lab/src/trial/learning/worth.rs
+++ b/crates/merlinshelf-lab/src/trial/learning/worth.rs
@@ -78,7 +78,7 @@
 const HANGS: Duration = Duration::from_secs(60);
 /// How long one is looked at, and in what steps and windows.
 const LOOKED: Duration = Duration::from_millis(8000);
-const STEP: Duration = Duration::from_millis(100);
+pub const STEP: Duration = Duration::from_millis(50);
 const WINDOW: Duration = Duration::from_millis(1000);
 
 fn setup(program: &std::path::Path, outage: bool) -> Setup {
