Keep many instances: the agent, its command line, and its state

Tests with the real programs: a rolling upgrade and a drain of all under load lose nothing, two kills of the agent in the midst of one, instances killed, stopped and told by hand, a program that can't take over, the command line.

--- /dev/null
+++ b/crates/merlinshelf-agent/src/talk.rs
@@ -0,0 +1,70 @@
+//! One question over a control socket, and what is said to it.
+
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use merlinshelf_protocol::control::{self, Question, Word};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::UnixStream;
+use tokio::time::timeout;
+
+/// A question under way.
+pub struct Talk {
+    stream: UnixStream,
+    come: Vec<u8>,
+    patience: Duration,
+}
+
+impl Talk {
+    /// Asks; each word is waited for as long as `patience`.
+    ///
+    /// # Errors
+    /// Nobody listens there, or does not take the question.
+    pub async fn ask(
+        socket: &Path,
+        question: Question,
+        body: &Value,
+        patience: Duration,
+    ) -> io::Result<Talk> {
+        let ask = async {
+            let mut stream = UnixStream::connect(socket).await?;
+            let mut bytes: Vec<u8> = Vec::new();
+            control::ask(&mut bytes, question, body.to_string().as_bytes());
+            stream.write_all(&bytes).await?;
+            Ok::<_, io::Error>(stream)
+        };
+        let stream = timeout(patience, ask).await??;
+        Ok(Talk { stream, come: Vec::new(), patience })
+    }
+
+    /// The next word and its report.
+    ///
+    /// # Errors
+    /// It ended, said nothing in time, or something else.
+    pub async fn next(&mut self) -> io::Result<(Word, Value)> {
+        loop {
+            match control::word(&self.come) {
+                Ok(Some(((_, word, body), count))) => {
+                    let report = serde_json::from_slice(body)?;
+                    self.come.drain(..count);
+                    return Ok((word, report));
+                }
+                Ok(None) => {}
+                Err(fault) => return Err(io::Error::other(fault.0)),
+            }
+            if timeout(self.patience, self.stream.read_buf(&mut self.come)).await?? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// One question with one answer.
+    ///
+    /// # Errors
+    /// As of `ask` and `next`.
+    pub async fn once(socket: &Path, question: Question, patience: Duration) -> io::Result<(Word, Value)> {
+        Talk::ask(socket, question, &json!({}), patience).await?.next().await
+    }
+}
--- a/crates/merlinshelf-backend/src/control.rs
+++ b/crates/merlinshelf-backend/src/control.rs
@@ -39,6 +39,8 @@
     Knowledge(oneshot::Sender<Option<Vec<Value>>>),
     /// Forget what this origin told, or all; how many figures these were, none where learning is off.
     Forget(Option<String>, oneshot::Sender<Option<usize>>),
+    /// Something for an agent, and where its answers go: all but the last are `more`.
+    Fleet(Value, UnboundedSender<(Word, Value)>),
 }
 
 /// The open socket; dropping it closes it, and leaves what was asked already to its end.
@@ -164,6 +166,21 @@
             }
             say(stream, Word::Done, &json!({ "pages": pages.len() })).await
         }
+        Question::Fleet => {
+            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let (sender, mut answers) = unbounded_channel();
+            asked.send(Asked::Fleet(body, sender)).map_err(|_| gone())?;
+            let answered = async {
+                while let Some((word, answer)) = answers.recv().await {
+                    say(stream, word, &answer).await?;
+                    if word != Word::More {
+                        return Ok(());
+                    }
+                }
+                Err(gone())
+            };
+            timeout(UPGRADE_WITHIN, answered).await?
+        }
         Question::Forget => {
             let body: Value = serde_json::from_slice(&body).unwrap_or_default();
             let origin = body["origin"].as_str().map(str::to_owned);
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -203,6 +203,14 @@
         self.shedder.as_ref().map(|shedder| (self.seconds(), shedder.learnt()))
     }
 
+    /// How long runs take lately, of all operations together, in ms.
+    pub fn run_ms(&self) -> Option<f64> {
+        let learnt = self.shedder.as_ref()?.learnt();
+        let all = || learnt.operations.iter().flat_map(|of| &of.runs);
+        let count = all().count();
+        (count > 0).then(|| all().sum::<f64>() * 1e3 / count as f64)
+    }
+
     /// What is believed on the word of others from here on.
     pub fn believe(&mut self, beliefs: Beliefs) {
         if beliefs != self.beliefs {
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -12,6 +12,7 @@
 use log::{error, info, warn};
 use merlinshelf_handover::keeper::{Patience, Progress, Step};
 use merlinshelf_handover::{Heir, Image, Keeper, Role, Word, heir};
+use merlinshelf_protocol::control::Word as ControlWord;
 use serde_json::json;
 use tokio::runtime::Builder;
 use tokio::select;
@@ -121,6 +122,8 @@
     asked: Option<UnboundedSender<Progress>>,
     // towards a predecessor
     heir: Option<Heir>,
+    /// Whom it took over from.
+    predecessor: Option<u32>,
     elder: Option<Channel>,
     inherited: Passed,
     prepared: Option<Prepared>,
@@ -164,6 +167,7 @@
         let elder = elder.map(Channel::new).transpose()?;
         Ok(Host {
             heir: elder.as_ref().map(|_| Heir::new(upgrade.watched(), VERSION)),
+            predecessor: elder.as_ref().map(|_| std::os::unix::process::parent_id()),
             start,
             peers: config.peers,
             learning: operator.learning.clone().map(|of| Learning::new(&config.name, &config.settings, of)),
@@ -623,6 +627,12 @@
             Asked::Knowledge(reply) => {
                 _ = reply.send(self.learning.as_ref().map(Learning::knowledge));
             }
+            Asked::Fleet(_, reply) => {
+                _ = reply.send((
+                    ControlWord::Refused,
+                    json!({ "text": "an instance listens here, not an agent" }),
+                ));
+            }
             Asked::Forget(origin, reply) => {
                 _ = reply.send(self.learning.as_mut().map(|learning| learning.forget(origin.as_deref())));
             }
@@ -687,10 +697,12 @@
             "version": VERSION,
             "process": std::process::id(),
             "state": state,
+            "predecessor": self.predecessor,
             "up_ms": self.began.elapsed().as_millis() as u64,
             "healthy": exchange.as_ref().map(|exchange| exchange.healthy()),
             "in_hand": exchange.as_ref().map(|exchange| exchange.in_hand()),
             "connections": exchange.as_ref().map(|exchange| exchange.doors_open()),
+            "run_ms": exchange.as_ref().and_then(|exchange| exchange.run_ms()),
             "memory_kb": memory_kb,
             "descriptors": descriptors,
             "learning": self.learning.as_ref().map(Learning::status),
--- a/crates/merlinshelf-backend/src/learning/folder.rs
+++ b/crates/merlinshelf-backend/src/learning/folder.rs
@@ -139,14 +139,18 @@
     }
 }
 
-/// The real files of a folder.
-struct Disk {
+/// The real files of a folder, for whoever holds its lock.
+pub struct Disk {
     folder: PathBuf,
     _lock: File,
 }
 
 impl Disk {
-    fn lock(folder: &Path) -> io::Result<Disk> {
+    /// Makes the folder where there is none.
+    ///
+    /// # Errors
+    /// Another process holds it, or the file system's.
+    pub fn lock(folder: &Path) -> io::Result<Disk> {
         std::fs::create_dir_all(folder)?;
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join("lock"))?;
         flock(&lock, FlockOperation::NonBlockingLockExclusive).map_err(|error| match error {
--- a/crates/merlinshelf-backend/src/operator.rs
+++ b/crates/merlinshelf-backend/src/operator.rs
@@ -252,27 +252,7 @@
     /// # Errors
     /// `LINE:COLUMN: FIELD: WHY` for what is no JSON5 or no such field, `LINE: FIELD: WHY` for what is out of range.
     pub fn read(text: &str) -> Result<Operator, String> {
-        let mut reader = json5::Deserializer::from_str(text);
-        let read = serde_path_to_error::deserialize(&mut reader);
-        let operator: Operator = read.map_err(|error| {
-            let (field, error) = (error.path().to_string(), error.into_inner());
-            let why = error.to_string();
-            let why = why.rsplit_once(" at ").map_or(why.as_str(), |(why, _)| why);
-            let field = if field == "." { String::new() } else { format!(" {field}:") };
-            match error.position() {
-                Some(at) => format!("{}:{}:{field} {why}", at.line + 1, at.column + 1),
-                None => format!("1:{field} {why}"),
-            }
-        })?;
-        json5::from_str::<serde::de::IgnoredAny>(text).map_err(|error| format!("1: {error}"))?;
-        operator.validate().map_err(|report| {
-            let of = |(path, error): &(garde::Path, garde::Error)| {
-                let field = path.to_string();
-                format!("{}: {field}: {}", line_of(text, &field), error.message())
-            };
-            report.iter().map(of).collect::<Vec<_>>().join("; ")
-        })?;
-        Ok(operator)
+        read_as(text)
     }
 
     /// The schema that the file is held to, as JSON.
@@ -282,6 +262,38 @@
     }
 }
 
+/// Reads a file of the operators' in JSON5, whatever it holds.
+///
+/// # Errors
+/// As of `Operator::read`.
+pub fn read_as<T>(text: &str) -> Result<T, String>
+where
+    T: serde::de::DeserializeOwned + Validate,
+    T::Context: Default,
+{
+    let mut reader = json5::Deserializer::from_str(text);
+    let read = serde_path_to_error::deserialize(&mut reader);
+    let operator: T = read.map_err(|error| {
+        let (field, error) = (error.path().to_string(), error.into_inner());
+        let why = error.to_string();
+        let why = why.rsplit_once(" at ").map_or(why.as_str(), |(why, _)| why);
+        let field = if field == "." { String::new() } else { format!(" {field}:") };
+        match error.position() {
+            Some(at) => format!("{}:{}:{field} {why}", at.line + 1, at.column + 1),
+            None => format!("1:{field} {why}"),
+        }
+    })?;
+    json5::from_str::<serde::de::IgnoredAny>(text).map_err(|error| format!("1: {error}"))?;
+    operator.validate().map_err(|report| {
+        let of = |(path, error): &(garde::Path, garde::Error)| {
+            let field = path.to_string();
+            format!("{}: {field}: {}", line_of(text, &field), error.message())
+        };
+        report.iter().map(of).collect::<Vec<_>>().join("; ")
+    })?;
+    Ok(operator)
+}
+
 fn io_read(file: std::fs::File, text: &mut String) -> std::io::Result<()> {
     std::io::Read::read_to_string(&mut std::io::Read::take(file, FILE_MOST), text).map(|_| ())
 }
--- a/crates/merlinshelf-cli/src/main.rs
+++ b/crates/merlinshelf-cli/src/main.rs
@@ -9,6 +9,7 @@
 }
 
 mod check;
+mod fleet;
 mod knowledge;
 mod remote;
 
@@ -85,6 +86,31 @@
         #[command(subcommand)]
         what: Knowledge,
     },
+    /// Keep the instances of a file as they are wanted, until told to end; they go on without it
+    #[command(after_help = "Example:\n  merlinshelf agent deploy/fleet.json5\n\n\
+                      SIGHUP reads the file anew, SIGTERM ends the agent and no instance.")]
+    Agent {
+        /// The fleet's file, in JSON5
+        #[arg(value_name = "FILE", value_hint = ValueHint::FilePath, required_unless_present = "schema")]
+        file: Option<PathBuf>,
+        /// Say whether the file can be used, and start nothing
+        #[arg(long)]
+        check: bool,
+        /// Print the schema of the file instead
+        #[arg(long)]
+        schema: bool,
+    },
+    /// Ask the agent of a fleet
+    #[command(
+        after_help = "Examples:\n  merlinshelf fleet status --agent /var/lib/merlinshelf/fleet/agent\n  \
+                      merlinshelf fleet upgrade --all --program /opt/new/merlinshelf --wait"
+    )]
+    Fleet {
+        #[command(flatten)]
+        agent: fleet::Agent,
+        #[command(subcommand)]
+        what: fleet::Fleet,
+    },
     /// Print completions for a shell
     #[command(after_help = "Example:\n  merlinshelf completions bash > /etc/bash_completion.d/merlinshelf")]
     Completions { shell: Shell },
@@ -174,6 +200,26 @@
         Command::Status(remote) => remote::status(&remote.control, remote.json),
         Command::Drain { remote, wait } => remote::drain(&remote.control, remote.json, wait),
         Command::Upgrade(remote) => remote::upgrade(&remote.control, remote.json),
+        Command::Agent { schema: true, .. } => {
+            print!("{}", merlinshelf_agent::schema());
+            ExitCode::SUCCESS
+        }
+        Command::Agent { file, check, .. } => {
+            let file = file.unwrap_or_default();
+            let done = if check {
+                merlinshelf_agent::load(&file).map(|_| tell!("{}: can be used", file.display()))
+            } else {
+                merlinshelf_agent::serve(&file)
+            };
+            match done {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => {
+                    eprintln!("merlinshelf: {why}");
+                    ExitCode::from(FAILED)
+                }
+            }
+        }
+        Command::Fleet { agent, what } => fleet::run(&agent, &what),
         Command::Knowledge { what: Knowledge::Show(Known { control, folder }) } => {
             knowledge::show(control.as_deref(), folder.as_deref())
         }
--- /dev/null
+++ b/crates/merlinshelf-cli/tests/fleet.rs
@@ -0,0 +1,242 @@
+//! The real agent with real instances between stand-ins: it starts, upgrades, drains and finds again, through deaths of the
+//! instances and of itself.
+
+use std::io;
+use std::process::Command;
+use std::time::Duration;
+
+use merlinshelf_lab::fleet::{Rig, sum};
+use merlinshelf_lab::instance::signal;
+use merlinshelf_protocol::control::Word;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_merlinshelf");
+
+/// Plays on one thread, within a time.
+fn play<T>(what: impl Future<Output = io::Result<T>>) -> T {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let bounded = async { tokio::time::timeout(Duration::from_secs(100), what).await };
+    LocalSet::new().block_on(&runtime, bounded).expect("it ends in time").expect("it can be played")
+}
+
+fn change() -> Value {
+    json!({ "out_at_once": 2, "floor": 0.5, "warm_ms": 200, "looked_ms": 400, "worse": 0.2 })
+}
+
+/// Another program file with the same content.
+fn copy_of_program(rig: &Rig) -> io::Result<String> {
+    let copy = rig.folder.join("merlinshelf-2");
+    std::fs::copy(PROGRAM, &copy)?;
+    Ok(std::fs::canonicalize(copy)?.to_string_lossy().into_owned())
+}
+
+async fn last(rig: &Rig, body: Value) -> io::Result<(Word, Value)> {
+    rig.ask(&body).await?.pop().ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+async fn names_where(rig: &Rig, what: impl Fn(&Value) -> bool) -> io::Result<Vec<String>> {
+    let (all, _) = rig.status().await?;
+    Ok(all.iter().filter(|one| what(one)).map(|one| one["name"].as_str().unwrap_or("").to_owned()).collect())
+}
+
+#[test]
+fn a_rolling_upgrade_then_a_drain_of_all_under_load_loses_nothing() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 210, 4, &change()).await?;
+        rig.when("serving", 4).await?;
+        let playing = rig.load(60.0, 3).await?;
+        sleep(Duration::from_millis(500)).await;
+        let program = copy_of_program(&rig)?;
+        let (word, plan) = last(&rig, json!({ "op": "upgrade", "program": program, "wait": true })).await?;
+        assert_eq!(word, Word::Done, "{plan}\n{}", rig.history().await?);
+        assert_eq!(names_where(&rig, |one| one["program"] == program.as_str()).await?.len(), 4);
+        let (word, plan) = last(&rig, json!({ "op": "drain", "slowest_first": true, "wait": true })).await?;
+        assert_eq!(word, Word::Done, "{plan}\n{}", rig.history().await?);
+        assert_eq!(rig.processes(), Vec::<u32>::new());
+        let verdicts = rig.check(playing).await;
+        let all = sum(&verdicts);
+        assert!(all.lost + all.doubled + all.spoilt + all.run_twice + all.wrong_feeds == 0, "{all:?}");
+        assert!(all.served > 100, "{all:?}");
+        Ok(())
+    });
+}
+
+#[test]
+fn the_agent_is_killed_and_another_one_finds_the_instances_and_goes_on() {
+    play(async {
+        let mut rig = Rig::start(PROGRAM.as_ref(), 211, 4, &change()).await?;
+        rig.when("serving", 4).await?;
+        let playing = rig.load(40.0, 4).await?;
+        let program = copy_of_program(&rig)?;
+        last(&rig, json!({ "op": "upgrade", "program": program })).await?;
+        // In the midst of the first ones, and once more later.
+        for pause in [300, 900] {
+            sleep(Duration::from_millis(pause)).await;
+            rig.kill_agent().await;
+            assert!(rig.processes().len() >= 4, "the instances go on");
+            rig.agent()?;
+        }
+        rig.when("serving", 4).await?;
+        loop {
+            let (_, plan) = last(&rig, json!({ "op": "plan" })).await?;
+            if plan["over"] == true {
+                assert_eq!(plan["state"], "done", "{plan}\n{}", rig.history().await?);
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(names_where(&rig, |one| one["program"] == program.as_str()).await?.len(), 4);
+        assert_eq!(rig.processes().len(), 4);
+        let history = rig.history().await?;
+        assert!(history.contains("adopted"), "{history}");
+        let all = sum(&rig.check(playing).await);
+        assert!(all.lost + all.doubled + all.run_twice == 0, "{all:?}\n{history}");
+        // Told to end it leaves them alone; a second agent beside one that lives is refused.
+        let second = Command::new(PROGRAM).arg("agent").arg(rig.folder.join("fleet.json5")).output()?;
+        let why = String::from_utf8_lossy(&second.stderr).into_owned();
+        assert!(second.status.code() == Some(1) && why.contains("another process holds the folder"), "{why}");
+        assert_eq!(rig.end_agent().await?, Some(0));
+        assert_eq!(rig.processes().len(), 4);
+        Ok(())
+    });
+}
+
+#[test]
+fn one_killed_one_stopped_and_one_that_left_by_hand_come_back_or_stay_as_they_should() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 212, 4, &change()).await?;
+        rig.when("serving", 4).await?;
+        let (all, _) = rig.status().await?;
+        let pid = |place: usize| {
+            all[place]["process"].as_u64().and_then(|pid| u32::try_from(pid).ok()).expect("a process")
+        };
+        signal(pid(0), Signal::KILL);
+        signal(pid(1), Signal::STOP);
+        signal(pid(2), Signal::TERM);
+        // Killed, it is started again; stopped, it is found out, told, and started again; told by hand, too.
+        let text = |history: &str, name: &str, what: &str| {
+            history.lines().any(|line| line.starts_with(name) && line.contains(what))
+        };
+        loop {
+            let history = rig.history().await?;
+            let all = text(&history, "web.0", "ended by itself")
+                && text(&history, "web.1", "hangs: no answer")
+                && text(&history, "web.2", "ended with status 0");
+            if all {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        rig.when("serving", 4).await?;
+        let (now, _) = rig.status().await?;
+        for place in 0..3 {
+            assert_ne!(now[place]["process"], all[place]["process"]);
+        }
+        assert_eq!(now[3]["process"], all[3]["process"], "who did nothing is not touched");
+        Ok(())
+    });
+}
+
+#[test]
+fn a_program_that_can_not_take_over_ends_the_plan_and_the_old_one_serves_on() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 213, 3, &change()).await?;
+        rig.when("serving", 3).await?;
+        let (before, _) = rig.status().await?;
+        let bad = rig.folder.join("bad");
+        std::fs::write(&bad, "#!/bin/sh\nexit 9\n")?;
+        std::fs::set_permissions(&bad, std::os::unix::fs::PermissionsExt::from_mode(0o755))?;
+        let (word, plan) = last(&rig, json!({ "op": "upgrade", "program": bad, "wait": true })).await?;
+        assert_eq!(word, Word::Failed, "{plan}");
+        let state = plan["state"].as_str().unwrap_or("").to_owned();
+        assert!(state.contains("was not upgraded") && state.contains("status 9"), "{state}");
+        rig.when("serving", 3).await?;
+        let (after, _) = rig.status().await?;
+        for (before, after) in before.iter().zip(&after) {
+            assert_eq!((&before["process"], &before["program"]), (&after["process"], &after["program"]));
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn the_command_line_shows_scales_stops_and_says_what_is_wrong() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 214, 3, &change()).await?;
+        rig.when("serving", 3).await?;
+        let socket = rig.socket().to_string_lossy().into_owned();
+        let run = |arguments: &[&str]| {
+            let mut command = tokio::process::Command::new(PROGRAM);
+            command.arg("fleet").arg("--agent").arg(&socket).args(arguments);
+            async move {
+                let done = command.output().await.expect("it runs");
+                let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+                (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
+            }
+        };
+        let (code, shown, _) = run(&["status"]).await;
+        assert!(code == 0 && shown.contains("web.2") && shown.contains("3 serving; 100"), "{shown}");
+        let (code, shown, _) = run(&["drain", "web.0", "--dry-run"]).await;
+        assert!(code == 0 && shown.contains("web.0") && shown.contains("to do"), "{shown}");
+        let (code, _, error) = run(&["drain"]).await;
+        assert!(code == 2 && error.contains("name instances"), "{error}");
+        let (code, _, error) = run(&["drain", "web.7"]).await;
+        assert!(code == 1 && error.contains("there is no instance web.7"), "{error}");
+        let (code, _, error) = run(&["upgrade", "--all", "--program", "/nowhere/at/all"]).await;
+        assert!(code == 1 && error.contains("/nowhere/at/all"), "{error}");
+        let (code, shown, error) = run(&["drain", "web.1", "--wait"]).await;
+        assert!(code == 0 && shown.contains("plan 1 drain: 1 of 1, done"), "{shown}{error}");
+        let (code, ..) = run(&["start", "web.1", "--wait"]).await;
+        assert_eq!(code, 0);
+        let (code, ..) = run(&["scale", "web", "2"]).await;
+        assert_eq!(code, 0);
+        rig.when("serving", 2).await?;
+        let (code, shown, _) = run(&["logs", "web.0", "--lines", "50"]).await;
+        assert!(code == 0 && shown.contains("the engine is up"), "{shown}");
+        let (code, shown, _) = run(&["stop", "--all", "--within", "10", "--wait"]).await;
+        assert!(code == 0 && shown.contains(" stop: ") && shown.contains(", done"), "{shown}");
+        let (code, shown, _) = run(&["history"]).await;
+        assert!(
+            code == 0 && shown.contains("told to leave") && shown.contains("ended with status 0"),
+            "{shown}"
+        );
+        let (code, shown, _) = run(&["--json", "status"]).await;
+        let lines: Vec<Value> = shown.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+        assert!(code == 0 && lines[0]["state"] == "absent", "{shown}");
+        Ok(())
+    });
+}
+
+#[test]
+fn the_example_can_be_read_and_its_schema_is_the_one_that_is_kept() {
+    let schema = Command::new(PROGRAM).args(["agent", "--schema"]).output().expect("it runs");
+    let kept = include_str!("../../../deploy/fleet.schema.json");
+    assert_eq!(String::from_utf8_lossy(&schema.stdout), kept);
+    let folder = std::env::temp_dir().join(format!("merlinshelf-fleet-file-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("fleet.json5");
+    let example = include_str!("../../../deploy/fleet.json5");
+    let config = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json");
+    let here = example
+        .replace("/opt/merlinshelf/bin/merlinshelf", PROGRAM)
+        .replace("/etc/merlinshelf/web.json", config);
+    let check = |text: &str| {
+        std::fs::write(&file, text).expect("a file");
+        let done = Command::new(PROGRAM).arg("agent").arg(&file).arg("--check").output().expect("it runs");
+        (done.status.code(), String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned())
+    };
+    assert_eq!(check(&here).0, Some(0), "{}", check(&here).1);
+    let (code, why) = check(&here.replace("count: 12", "count: 300"));
+    assert!(code == Some(1) && why.contains("memory: 19200 MB and 64 MB for second processes"), "{why}");
+    let (code, why) = check(&here.replace("floor: 0.75", "floor: 1.5"));
+    assert!(code == Some(1) && why.contains("change.floor"), "{why}");
+    let (code, why) = check(&here.replace("floor: 0.75", "flor: 0.75"));
+    assert!(code == Some(1) && why.contains("flor"), "{why}");
+    let (code, why) = check(example);
+    assert!(code == Some(1) && why.contains("groups.web.program: /opt/merlinshelf/bin/merlinshelf"), "{why}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/crates/merlinshelf-fleet/src/fleet.rs
+++ b/crates/merlinshelf-fleet/src/fleet.rs
@@ -896,7 +896,7 @@
         }
         let Some(one) = self.instances.get_mut(name) else { return Ok(false) };
         let before = one.program.clone();
-        if to.as_ref() == Some(&before) && !back {
+        if to.as_ref() == Some(&before) && one.runs_its_program() && !back {
             plan.targets[place].stage = Stage::Left("it runs this program already".into());
             return Ok(false);
         }
--- a/crates/merlinshelf-fleet/src/instance.rs
+++ b/crates/merlinshelf-fleet/src/instance.rs
@@ -207,7 +207,7 @@
     /// What it was sent and what it served, between two moments.
     pub fn served(&self, from: f64, until: f64) -> (u64, u64) {
         let within = || self.looks.iter().filter(|(at, ..)| (from..=until).contains(at));
-        match (within().next(), within().last()) {
+        match (within().next(), within().next_back()) {
             (Some((_, sent, served)), Some((_, sent_then, served_then))) => {
                 (sent_then - sent, served_then - served)
             }
--- a/crates/merlinshelf-fleet/src/wanted.rs
+++ b/crates/merlinshelf-fleet/src/wanted.rs
@@ -128,14 +128,17 @@
     /// The platform's configuration of the first one; name, listen and seed are made for each.
     #[garde(skip)]
     pub config: PathBuf,
-    /// What stands in the operators' file of each beside its control socket and its upgrades, as JSON; a folder for learning
-    /// is made for each.
+    /// Whether they teach each other, and keep what they know (docs/learning.md).
     #[garde(skip)]
     #[serde(default)]
     pub learning: bool,
     /// The address of the first one; each further one has the next port.
     #[garde(custom(address))]
     pub listen: String,
+    /// The address of the first one's engine; each further one has the next port. Absent: the configuration's for all.
+    #[garde(inner(custom(address)))]
+    #[serde(default)]
+    pub engine: Option<String>,
     /// What an instance counts for as long as nothing is known of what it serves.
     #[garde(range(min = 0.0))]
     #[serde(default = "one")]
--- a/crates/merlinshelf-fleet/tests/fleet.rs
+++ b/crates/merlinshelf-fleet/tests/fleet.rs
@@ -51,6 +51,7 @@
         config: "/config.json".into(),
         learning: false,
         listen: format!("127.0.0.1:{port}"),
+        engine: None,
         weight: 1.0,
         labels: BTreeMap::from([("tier".to_owned(), "front".to_owned())]),
         cores: 0.1,
--- a/crates/merlinshelf-knowledge/src/log.rs
+++ b/crates/merlinshelf-knowledge/src/log.rs
@@ -55,7 +55,12 @@
 
 /// One record.
 pub fn record(record: &Record) -> Vec<u8> {
-    let bytes = rmp_serde::to_vec_named(record).unwrap_or_default();
+    framed(record)
+}
+
+/// Anything in the form of a record: its length, the CRC-32 of what follows, and so many bytes of MessagePack.
+pub fn framed(value: &impl Serialize) -> Vec<u8> {
+    let bytes = rmp_serde::to_vec_named(value).unwrap_or_default();
     let mut out = (bytes.len() as u32).to_le_bytes().to_vec();
     out.extend(crc32fast::hash(&bytes).to_le_bytes());
     out.extend(bytes);
@@ -91,24 +96,33 @@
 }
 
 fn one(bytes: &[u8], first_form: bool) -> Result<(Record, usize), Flaw> {
+    let (record, used) = unframed(bytes, RECORD_MOST)?;
+    let record = if first_form {
+        rmp_serde::from_slice(record).map(Record::Figure)
+    } else {
+        rmp_serde::from_slice(record)
+    };
+    Ok((record.map_err(|_| Flaw::Garbled)?, used))
+}
+
+/// The bytes of the record at the front, and how long it is with its frame.
+///
+/// # Errors
+/// It is not whole, or not what was written.
+pub fn unframed(bytes: &[u8], most: usize) -> Result<(&[u8], usize), Flaw> {
     let number = |at: usize| {
         let four = bytes.get(at..at + 4).and_then(|four| four.try_into().ok());
         four.map(u32::from_le_bytes).ok_or(Flaw::Torn)
     };
     let (length, sum) = (number(0)? as usize, number(4)?);
-    if length == 0 || length > RECORD_MOST {
+    if length == 0 || length > most {
         return Err(Flaw::Garbled);
     }
     let record = bytes.get(8..8 + length).ok_or(Flaw::Torn)?;
     if crc32fast::hash(record) != sum {
         return Err(Flaw::Garbled);
     }
-    let record = if first_form {
-        rmp_serde::from_slice(record).map(Record::Figure)
-    } else {
-        rmp_serde::from_slice(record)
-    };
-    Ok((record.map_err(|_| Flaw::Garbled)?, 8 + length))
+    Ok((record, 8 + length))
 }
 
 impl Kept {
--- a/crates/merlinshelf-lab/src/instance.rs
+++ b/crates/merlinshelf-lab/src/instance.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use merlinshelf_protocol::control::{self, Question, Word};
+use merlinshelf_agent::talk::Talk;
+use merlinshelf_protocol::control::{Question, Word};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::{TcpListener, UnixStream};
 use tokio::process::{Child, Command};
 use tokio::task::spawn_local;
@@ -100,7 +101,8 @@
     own_address_at(number, 7400)
 }
 
-fn own_address_at(number: u8, port: u16) -> String {
+/// The same, with a port of one's own choice.
+pub fn own_address_at(number: u8, port: u16) -> String {
     let [.., high, low] = std::process::id().to_be_bytes();
     format!("127.{}.{low}.{number}:{port}", 1 + high % 250)
 }
@@ -216,7 +218,7 @@
     }
 
     pub async fn ask(&self, question: Question) -> io::Result<Talk> {
-        Talk::ask(&self.control, question).await
+        Talk::ask(&self.control, question, &json!({}), PATIENCE).await
     }
 
     /// The report of the one who serves.
@@ -363,37 +365,3 @@
     }
     Ok(child)
 }
-
-/// A question under way.
-pub struct Talk {
-    stream: UnixStream,
-    come: Vec<u8>,
-}
-
-impl Talk {
-    pub async fn ask(socket: &Path, question: Question) -> io::Result<Talk> {
-        let mut stream = UnixStream::connect(socket).await?;
-        let mut bytes: Vec<u8> = Vec::new();
-        control::ask(&mut bytes, question, b"{}");
-        stream.write_all(&bytes).await?;
-        Ok(Talk { stream, come: Vec::new() })
-    }
-
-    /// The next word and its report.
-    pub async fn next(&mut self) -> io::Result<(Word, Value)> {
-        loop {
-            match control::word(&self.come) {
-                Ok(Some(((_, word, body), count))) => {
-                    let report = serde_json::from_slice(body)?;
-                    self.come.drain(..count);
-                    return Ok((word, report));
-                }
-                Ok(None) => {}
-                Err(fault) => return Err(io::Error::other(fault.0)),
-            }
-            if timeout(PATIENCE, self.stream.read_buf(&mut self.come)).await?? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-}
--- a/crates/merlinshelf-lab/src/lib.rs
+++ b/crates/merlinshelf-lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod demo;
 pub mod disk;
+pub mod fleet;
 pub mod instance;
 pub mod load;
 pub mod script;
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -117,6 +117,9 @@
         while !seen.borrow().closing {
             at += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / self.rate);
             sleep_until(at).await;
+            if seen.borrow().closing {
+                break;
+            }
             number += 1;
             let id = format!("{:016x}", number ^ self.seed.rotate_left(32));
             let place = rng.random_range(0..writers.len());
@@ -220,21 +223,28 @@
         // Where nobody listens for a while, what is asked for meanwhile fails at once.
         let mut refused = false;
         stream = loop {
-            match TcpStream::connect(&address).await {
-                Ok(stream) => break stream,
-                Err(_) if seen.borrow().closing => return,
-                Err(_) => {}
+            if let Ok(stream) = TcpStream::connect(&address).await {
+                break stream;
             }
+            let closing = seen.borrow().closing;
             if !std::mem::replace(&mut refused, true) {
                 seen.borrow_mut().broken += 1;
             }
-            while let Ok((tag, _)) = going.try_recv() {
-                kept.remove(&tag);
+            let nobody = |tag: u16| {
                 let id = open.borrow_mut().remove(&tag);
                 let mut seen = seen.borrow_mut();
                 if let Some(sent) = id.and_then(|id| seen.sent.get_mut(&id)) {
                     sent.answers.push((Instant::now(), NOBODY));
                 }
+            };
+            while let Ok((tag, _)) = going.try_recv() {
+                kept.remove(&tag);
+                nobody(tag);
+            }
+            if closing {
+                // What crossed the close finds nobody any more.
+                kept.drain().for_each(|(tag, _)| nobody(tag));
+                return;
             }
             sleep(Duration::from_millis(20)).await;
         };
@@ -289,6 +299,11 @@
 }
 
 impl Seen {
+    /// Nothing further is sent.
+    pub fn stop(&mut self) {
+        self.closing = true;
+    }
+
     /// Holds all that was sent against what came back and what ran.
     pub fn check(&self, records: &Records, patience: Duration) -> Verdict {
         let mut verdict = Verdict { broken: self.broken, ..Verdict::default() };
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -69,6 +69,25 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Rolling upgrades, restarts and drains of many instances under load, with kills of the agent
+    #[command(after_help = "Example:\n  merlinshelf-lab trial fleet --seed 18 --seeds 20 --instances 20")]
+    Fleet {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds are played, from this one on
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        #[arg(long, default_value_t = 20)]
+        instances: u16,
+        /// Invocations a second to each instance
+        #[arg(long, default_value_t = 30.0)]
+        rate: f64,
+        /// Kills of the agent in each rolling upgrade
+        #[arg(long, default_value_t = 2)]
+        kills: u32,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// What being taught is worth, what bad teachers cost, what it costs a fleet, and what crashes leave
     #[command(after_help = "Example:\n  merlinshelf-lab trial learning --seed 17 --seeds 20 --at-once 4")]
     Learning {
@@ -170,6 +189,11 @@
             let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
             local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
         }
+        Command::Trial { trial: Trial::Fleet { seed, seeds, instances, rate, kills, program } } => {
+            let program = std::fs::canonicalize(found(program)?)?;
+            let plan = trial::fleet::Plan { seed, seeds, instances, rate, kills, program };
+            local.block_on(&runtime, trial::fleet::run(&plan)).map(|(_, clean)| clean)
+        }
         Command::Trial {
             trial: Trial::Learning { seed, seeds, at_once, fleets, costs, crashes, program },
         } => {
--- /dev/null
+++ b/crates/merlinshelf-lab/src/trial/fleet.rs
@@ -0,0 +1,198 @@
+//! `trial fleet`: many real instances under load, a rolling upgrade with kills of the agent, then a drain of all; what was lost
+//! and how much was served, against the plain way; what the agent costs, and how long it takes to say how all stand.
+
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use merlinshelf_protocol::control::Word;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::fleet::{Rig, sum};
+use crate::instance::signal;
+use crate::load::{Load, Playing, Verdict};
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub seeds: u64,
+    pub instances: u16,
+    /// Invocations a second to each.
+    pub rate: f64,
+    /// Kills of the agent in each rolling upgrade.
+    pub kills: u32,
+    pub program: PathBuf,
+}
+
+fn change() -> Value {
+    json!({ "out_at_once": 2, "floor": 0.75, "warm_ms": 300, "looked_ms": 500, "worse": 0.05, "warm_within_ms": 20000 })
+}
+
+/// Served and sent, all together, of what was sent between two moments.
+fn served(playing: &[(Load, Playing)], from: Instant, until: Instant) -> (u64, u64) {
+    let mut sums = (0, 0);
+    for (_, playing) in playing {
+        let seen = playing.seen.borrow();
+        for sent in seen.sent.values().filter(|sent| sent.at >= from && sent.at < until) {
+            sums.1 += 1;
+            sums.0 += u64::from(sent.answers.first().is_some_and(|(_, status)| *status == 200));
+        }
+    }
+    sums
+}
+
+fn share((served, sent): (u64, u64)) -> f64 {
+    served as f64 / sent.max(1) as f64
+}
+
+/// Waits for the end of the plan, whatever happens to the agent meanwhile.
+async fn over(rig: &Rig) -> io::Result<Value> {
+    let until = Instant::now() + Duration::from_secs(120);
+    loop {
+        let said = rig.ask(&json!({ "op": "plan" })).await;
+        if let Some((Word::Done, plan)) = said.ok().and_then(|mut said| said.pop())
+            && plan["over"] == true
+        {
+            return Ok(plan);
+        }
+        if Instant::now() >= until {
+            return Err(io::Error::other(format!("the plan does not end\n{}", rig.log())));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+struct Played {
+    verdict: Verdict,
+    before: f64,
+    during: f64,
+    took: f64,
+    plain: f64,
+}
+
+/// One seed.
+async fn play(plan: &Plan, seed: u64, number: u8) -> io::Result<Played> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut rig = Rig::start(&plan.program, number, plan.instances, &change()).await?;
+    rig.when("serving", plan.instances.into()).await?;
+    let playing = rig.load(plan.rate, seed).await?;
+    sleep(Duration::from_secs(1)).await;
+    let steady = Instant::now();
+    sleep(Duration::from_secs(3)).await;
+    let began = Instant::now();
+    let copy = rig.folder.join("merlinshelf-2");
+    std::fs::copy(&plan.program, &copy)?;
+    rig.ask(&json!({ "op": "upgrade", "program": copy })).await?;
+    for _ in 0..plan.kills {
+        sleep(Duration::from_millis(rng.random_range(200..1800))).await;
+        rig.kill_agent().await;
+        sleep(Duration::from_millis(rng.random_range(0..600))).await;
+        rig.agent()?;
+    }
+    let ended = over(&rig).await?;
+    if ended["state"] != "done" {
+        let history = rig.history().await?;
+        return Err(io::Error::other(format!("seed {seed}: the upgrade is {}\n{history}", ended["state"])));
+    }
+    let upgraded = Instant::now();
+    // The plain way: drain and start, one after the other.
+    rig.ask(&json!({ "op": "restart" })).await?;
+    over(&rig).await?;
+    let restarted = Instant::now();
+    // All leave; half of them were told by hand already.
+    let (all, _) = rig.status().await?;
+    for one in all.iter().step_by(2) {
+        if let Some(pid) = one["process"].as_u64().and_then(|pid| u32::try_from(pid).ok()) {
+            signal(pid, Signal::TERM);
+        }
+    }
+    rig.ask(&json!({ "op": "drain", "slowest_first": true })).await?;
+    over(&rig).await?;
+    if !rig.processes().is_empty() {
+        return Err(io::Error::other(format!("seed {seed}: some have not left")));
+    }
+    let (before, during) = (served(&playing, steady, began), served(&playing, began, upgraded));
+    let plain = served(&playing, upgraded, restarted);
+    let verdict = sum(&rig.check(playing).await);
+    Ok(Played {
+        verdict,
+        before: share(before),
+        during: share(during),
+        took: (upgraded - began).as_secs_f64(),
+        plain: share(plain),
+    })
+}
+
+/// What the agent costs with so many instances that nobody sends to: share of a core, memory in KB, and how long it takes to say
+/// how all stand, in ms.
+async fn cost(plan: &Plan, count: u16, number: u8) -> io::Result<(f64, u64, f64)> {
+    let rig = Rig::start(&plan.program, number, count, &change()).await?;
+    rig.when("serving", count.into()).await?;
+    let id = rig.agent_id().ok_or_else(|| io::Error::other("the agent is gone"))?;
+    let cpu = || -> io::Result<f64> {
+        let text = std::fs::read_to_string(format!("/proc/{id}/schedstat"))?;
+        Ok(text.split(' ').next().and_then(|nanos| nanos.parse::<f64>().ok()).unwrap_or(0.0) / 1e9)
+    };
+    let (from, before) = (Instant::now(), cpu()?);
+    sleep(Duration::from_secs(4)).await;
+    let share = (cpu()? - before) / from.elapsed().as_secs_f64();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("");
+    let memory = line.trim().split(' ').next().and_then(|kb| kb.parse().ok()).unwrap_or(0);
+    let mut times = Vec::new();
+    for _ in 0..9 {
+        let from = Instant::now();
+        rig.status().await?;
+        times.push(from.elapsed().as_secs_f64() * 1e3);
+    }
+    times.sort_by(f64::total_cmp);
+    Ok((share, memory, times[times.len() / 2]))
+}
+
+/// Plays all seeds; the last line, and whether the rules held.
+///
+/// # Errors
+/// What can't be played.
+pub async fn run(plan: &Plan) -> io::Result<(Value, bool)> {
+    let mut all = Verdict::default();
+    let (mut ratios, mut plains) = (Vec::new(), Vec::new());
+    for seed in plan.seed..plan.seed + plan.seeds {
+        let played = play(plan, seed, 230).await?;
+        let Played { verdict, before, during, took, plain } = played;
+        println!(
+            "seed {seed}: {} sent, {} lost, {} doubled, {} run twice; served {during:.4} in {took:.1} s of upgrade, {before:.4} \
+             before it, {plain:.4} by drain and start",
+            verdict.sent, verdict.lost, verdict.doubled, verdict.run_twice
+        );
+        ratios.push(during / before.max(1e-9));
+        plains.push(plain / before.max(1e-9));
+        all = sum(&[all, verdict]);
+    }
+    let median = |values: &mut Vec<f64>| {
+        values.sort_by(f64::total_cmp);
+        values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+    };
+    let (ratio, plain) = (median(&mut ratios), median(&mut plains));
+    let mut costs = Vec::new();
+    for count in [20, 200] {
+        let (share, memory_kb, status_ms) = cost(plan, count, 231).await?;
+        println!(
+            "agent of {count}: {:.2}% of a core, {memory_kb} KB, a status in {status_ms:.1} ms",
+            share * 100.0
+        );
+        costs.push(
+            json!({ "instances": count, "core": share, "memory_kb": memory_kb, "status_ms": status_ms }),
+        );
+    }
+    let line = json!({
+        "trial": "fleet", "seed": plan.seed, "seeds": plan.seeds, "instances": plan.instances, "sent": all.sent,
+        "lost": all.lost, "doubled": all.doubled, "run_twice": all.run_twice, "spoilt": all.spoilt,
+        "served_in_upgrade": ratio, "served_by_restart": plain, "agent": costs,
+    });
+    println!("{line}");
+    Ok((line, all.lost + all.doubled + all.run_twice + all.spoilt == 0 && ratio >= 0.98))
+}
--- a/crates/merlinshelf-protocol/src/control.rs
+++ b/crates/merlinshelf-protocol/src/control.rs
@@ -23,6 +23,8 @@
     Knowledge,
     /// Forget what was told: by the `origin` that the body names, or by all.
     Forget,
+    /// What the body says is for the agent of a fleet.
+    Fleet,
 }
 
 /// How far what was asked for has come.
@@ -45,6 +47,7 @@
             Question::Upgrade => "upgrade",
             Question::Knowledge => "knowledge",
             Question::Forget => "forget",
+            Question::Fleet => "fleet",
         }
     }
 }
@@ -68,6 +71,7 @@
         "upgrade".value(Question::Upgrade),
         "knowledge".value(Question::Knowledge),
         "forget".value(Question::Forget),
+        "fleet".value(Question::Fleet),
     ));
     message(input, "ask ", words, Fault("unreadable question"))
 }
