Put back what never gets warm or crashes later; find hangs in an upgrade; tests by one seed

A target that never got warm was waited for for ever, one that crashed after it was done went unnoticed, a hang in the midst of an upgrade was not found, and a floor that nobody's return can meet is no reason to wait: the plan ends and says so. The agent tries whether clients are let in. Random walks are drawn by a fixed seed, so that a verdict is the same every time.

--- a/crates/merlinshelf-agent/src/host.rs
+++ b/crates/merlinshelf-agent/src/host.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -11,12 +12,14 @@
 use merlinshelf_backend::control::{self, Asked};
 use merlinshelf_backend::logger;
 use merlinshelf_backend::operator::Format;
+use merlinshelf_fleet::fit::address;
 use merlinshelf_fleet::{Fleet, Identity, Report, Step, Wanted};
 use merlinshelf_protocol::control::{Question, Word};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use serde_json::{Value, json};
+use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 use tokio::select;
 use tokio::signal::unix::{SignalKind, signal};
@@ -35,6 +38,8 @@
 /// Each instance is asked so often, where there are few; with more, less often.
 const ASK_EVERY: Duration = Duration::from_millis(250);
 const ASK_EACH: Duration = Duration::from_millis(4);
+/// With every so many questions it is tried whether its clients are let in, too.
+const PROBED_EACH: u32 = 4;
 /// A question to an instance is given up after so long.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1000);
 /// The longest upgrade of one instance.
@@ -62,6 +67,7 @@
     /// Instances whose question is under way.
     asking: Rc<RefCell<std::collections::BTreeSet<String>>>,
     events: (UnboundedSender<Event>, UnboundedReceiver<Event>),
+    asked_times: u32,
     /// Tools that follow a plan to its end, and the last that each was told.
     following: Vec<(u64, Reply, String)>,
     watching: Vec<Reply>,
@@ -103,6 +109,7 @@
         held: BTreeMap::new(),
         asking: Rc::default(),
         events: unbounded_channel(),
+        asked_times: 0,
         following: Vec::new(),
         watching: Vec::new(),
     };
@@ -163,6 +170,12 @@
         files::paths(self.fleet.wanted(), name)
     }
 
+    /// Where clients reach an instance.
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        let one = self.fleet.get(name)?;
+        address(&self.fleet.wanted().groups.get(&one.group)?.listen, one.number)
+    }
+
     /// Finds the process of an earlier agent's instance: by number and start, or as who took over from it and says so on its
     /// socket.
     async fn adopt(&mut self, name: &str, known: Option<Identity>) {
@@ -233,18 +246,28 @@
 
     /// Asks every instance how it stands, each once at a time.
     fn ask_all(&mut self) {
+        self.asked_times = self.asked_times.wrapping_add(1);
+        let probes = self.asked_times.is_multiple_of(PROBED_EACH);
         for name in self.held.keys() {
             if !self.asking.borrow_mut().insert(name.clone()) {
                 continue;
             }
             let (asking, sender) = (self.asking.clone(), self.events.0.clone());
+            let address = probes.then(|| self.address(name)).flatten();
             let (name, control) = (name.clone(), self.paths(name).control);
             spawn_local(async move {
                 let answer = Talk::once(&control, Question::Status, ANSWER_WITHIN).await;
-                asking.borrow_mut().remove(&name);
-                if let Ok((Word::Done, status)) = answer
-                    && let Some(report) = report(&status)
+                let said = answer.ok().filter(|(word, _)| *word == Word::Done);
+                let mut report = said.and_then(|(_, said)| report(&said));
+                // One that says that it is well and lets nobody in is not.
+                if let (Some(report), Some(address)) = (&mut report, address)
+                    && report.healthy == Some(true)
                 {
+                    let connect = timeout(ANSWER_WITHIN, TcpStream::connect(address)).await;
+                    report.healthy = Some(matches!(connect, Ok(Ok(_))));
+                }
+                asking.borrow_mut().remove(&name);
+                if let Some(report) = report {
                     let _ = sender.send(Event::Reported(name, Box::new(report)));
                 }
             });
--- a/crates/merlinshelf-fleet/src/fleet.rs
+++ b/crates/merlinshelf-fleet/src/fleet.rs
@@ -61,6 +61,8 @@
 const TOLD_FROM: u64 = 50;
 /// What an instance that never answered is given to answer first, beside the time to get warm.
 const STOP_MARGIN: f64 = 2.0;
+/// Why a floor can't be met though all serve.
+const NOBODY_DOWN: &str = "nobody is down";
 /// A kill that shows no effect is made again after so long.
 const KILL_AGAIN: f64 = 1.0;
 /// What capacity is weighed by: served over the last so many seconds.
@@ -348,14 +350,21 @@
             return;
         }
         let Some(target) = plan.targets.iter_mut().find(|target| target.name == name) else { return };
-        let hit = matches!(target.stage, Stage::Under { .. } | Stage::Looking { .. } | Stage::Back);
+        let upgrade = matches!(plan.kind, Kind::Upgrade { .. });
+        // One that was done with crashes after a while: for as long as others are to follow that is the plan's, too.
+        let hit = match target.stage {
+            Stage::Under { .. } | Stage::Looking { .. } | Stage::Back => true,
+            Stage::Done { .. } => upgrade,
+            _ => false,
+        };
         if !hit {
             return;
         }
-        let upgrade = matches!(plan.kind, Kind::Upgrade { .. });
         let down = self.instances.get(name).is_some_and(|one| !one.state.is_up());
         let before = match &target.stage {
-            Stage::Under { program } | Stage::Looking { program, .. } => Some(program.clone()),
+            Stage::Under { program } | Stage::Looking { program, .. } | Stage::Done { program } => {
+                Some(program.clone())
+            }
             _ => None,
         };
         if down && upgrade {
@@ -364,7 +373,9 @@
                 one.program = before;
             }
         }
-        target.stage = Stage::Left(why.to_owned());
+        if down || why.contains("not upgraded") {
+            target.stage = Stage::Left(why.to_owned());
+        }
         if !upgrade {
             plan.state = PlanState::Stopped(why.to_owned());
         } else if !matches!(plan.state, PlanState::GoingBack(_)) {
@@ -549,6 +560,12 @@
             (self.wanted.restarts.hangs_ms as f64 / 1e3, self.wanted.change.warm_within_ms as f64 / 1e3);
         let stop_within = self.stop_within + STOP_MARGIN;
         let mut notes = Vec::new();
+        // A target that does not get warm is a step that has failed; others may be cold for reasons of their engine's.
+        let cold = |one: &&Instance| one.state == State::Warming && now - one.since > warm_within;
+        let cold: Vec<String> = self.instances.values().filter(cold).map(|one| one.name.clone()).collect();
+        for name in cold {
+            self.step_failed(&name, &format!("{name} does not get warm within {warm_within:.1} s"));
+        }
         for one in self.instances.values_mut() {
             let silent = now - one.heard;
             let name = one.name.clone();
@@ -559,7 +576,8 @@
                     one.kill_at = Some(now + stop_within);
                     self.steps.push_back(Step::Terminate { name });
                 }
-                State::Warming | State::Serving if silent > hangs => {
+                // One that hands over is silent for a moment, far shorter than a hang.
+                State::Warming | State::Serving | State::Upgrading if silent > hangs => {
                     notes.push((name.clone(), format!("hangs: no answer for {silent:.1} s")));
                     one.turn(now, State::Lost);
                     one.kill_at = Some(now + stop_within);
@@ -694,8 +712,7 @@
             .filter(|one| self.is_wanted(one) && !one.state.serves())
             .map(|one| one.name.as_str())
             .collect();
-        let down =
-            if down.is_empty() { "nobody is down".into() } else { format!("down: {}", down.join(", ")) };
+        let down = if down.is_empty() { NOBODY_DOWN.into() } else { format!("down: {}", down.join(", ")) };
         Err(format!(
             "without {name} {:.0}% of all capacity would serve, under the floor of {:.0}%; {down}",
             100.0 * left / whole.max(1e-9),
@@ -833,7 +850,11 @@
             PlanState::Paused => return,
             _ => None,
         };
-        let mut out = plan.out();
+        let mut out = match &why_back {
+            // What failed on its way counts for nothing here: it is to be put back itself.
+            Some(_) => plan.targets.iter().filter(|target| target.stage == Stage::Back).count(),
+            None => plan.out(),
+        };
         for place in 0..plan.targets.len() {
             if out >= plan.at_once as usize {
                 break;
@@ -860,8 +881,10 @@
                 }
                 Ok(false) => {}
                 Err(why) => {
+                    // What nobody's return can change is not waited for.
+                    let never = waits.is_empty() && why.ends_with(NOBODY_DOWN);
                     if !back {
-                        plan.state = PlanState::Waiting(why);
+                        plan.state = if never { PlanState::Stopped(why) } else { PlanState::Waiting(why) };
                     }
                     return;
                 }
@@ -887,8 +910,8 @@
         let looked = self.wanted.change.looked_ms as f64 / 1e3;
         let Some(state) = self.instances.get(name).map(|one| one.state) else { return Ok(false) };
         let upgrade = to.is_some();
-        if matches!(state, State::Starting | State::Warming | State::Adopted | State::Upgrading | State::Lost)
-        {
+        let cold = state == State::Warming && !back;
+        if cold || matches!(state, State::Starting | State::Adopted | State::Upgrading | State::Lost) {
             return if back { Ok(true) } else { Err(format!("{name} is {}", state.name())) };
         }
         if state.serves() && !upgrade {
--- a/crates/merlinshelf-handover/tests/walks.rs
+++ b/crates/merlinshelf-handover/tests/walks.rs
@@ -8,6 +8,7 @@
 use merlinshelf_handover::records::{Answer, Door, Edge, Invocation};
 use merlinshelf_handover::{Flow, Heir, Image, Kernel, Key, Torn, Transaction, Word, heir};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -214,7 +215,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, rng_seed: RngSeed::Fixed(18), ..ProptestConfig::default() })]
 
     /// One owner at any time; nobody serves for longer than a transfer may take; every path comes to its end with
     /// somebody who serves.
--- a/crates/merlinshelf-knowledge/tests/knowledge.rs
+++ b/crates/merlinshelf-knowledge/tests/knowledge.rs
@@ -7,6 +7,7 @@
 use merlinshelf_knowledge::log::{Flaw, Kept, Record, head, record, recover};
 use merlinshelf_knowledge::{Book, Origin, Standing, Subject, Told, Unbelievable};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn origin(name: &str) -> Origin {
     Origin { name: name.into(), life: 1 }
@@ -116,7 +117,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(18), ..ProptestConfig::default() })]
 
     /// One look, told round in circles: nowhere is it younger than it is, nowhere surer than where it was seen, and never
     /// passed on as seen.
--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -222,7 +222,7 @@
         if self.call_times.is_empty() && self.call_failures == 0 {
             let share = self.num("FamilyInfo.CallShare", f64::INFINITY);
             if let Some(word) = beliefs.call_limit.filter(|_| share.is_finite()) {
-                self.call_limit = towards(0.4 * share, word).clamp((0.25 * share).min(1.0), 0.8 * share);
+                self.call_limit = towards(0.4 * share, word).clamp((0.25 * share).min(1.0), 0.4 * share);
             }
             if let Some(word) = beliefs.call_lowest {
                 (self.call_lowest, self.call_probe) = (word.value, 24); // then taken anew from own ones
@@ -232,7 +232,8 @@
             }
         }
         if let Some(word) = beliefs.limit.filter(|_| self.ops.iter().all(|op| op.runs.is_empty())) {
-            self.limit = towards(self.cores(), word).min(self.survivable()).max(self.cores());
+            let most = self.survivable().min(2.0 * self.cores());
+            self.limit = towards(self.cores(), word).min(most).max(self.cores());
         }
         for (op, word) in self.ops.iter_mut().zip(&beliefs.lowest) {
             if let Some(word) = word.filter(|_| op.runs.is_empty()) {
@@ -634,8 +635,8 @@
         self.core_time(it) + mean(&self.ops[it.told.operation].below)
     }
 
-    /// What others say of an operation, as long as it is to be heeded: not once own runs are twice off, and of
-    /// one not seen yet only while a run tries one of these. Else a lie would keep it from running.
+    /// What others say of an operation, as long as it is to be heeded: not once own runs are twice off, and
+    /// of one not seen yet only while a run tries one of these. Else a lie would keep it from running.
     fn word(&self, op: usize) -> Option<Believed> {
         let word = (*self.beliefs.runs.get(op)?)?;
         let (took, cost) = (&self.ops[op].runs, &self.ops[op].costs);
