--- a/crates/merlinshelf-cli/tests/fleet.rs
+++ b/crates/merlinshelf-cli/tests/fleet.rs
@@ -141,6 +141,58 @@
     });
 }
 
+#[test]
+fn a_foreign_process_on_an_instances_socket_is_left_alone_and_told_of() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 215, 2, &change()).await?;
+        rig.when("serving", 2).await?;
+        last(&rig, json!({ "op": "drain", "names": ["web.0"], "wait": true })).await?;
+        let control = rig.folder.join("run").join("web.0").join("control");
+        let _ = std::fs::remove_file(&control);
+        let foreign = tokio::net::UnixListener::bind(&control)?;
+        last(&rig, json!({ "op": "start", "names": ["web.0"] })).await?;
+        let why = "not started: another process listens on its control socket";
+        while !rig.history().await?.contains(why) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(tokio::net::UnixStream::connect(&control).await.is_ok(), "it listens on");
+        // Once it is gone the instance comes back, after a pause.
+        drop(foreign);
+        std::fs::remove_file(&control)?;
+        rig.when("serving", 2).await
+    });
+}
+
+#[test]
+fn a_file_that_is_spoilt_for_one_group_changes_nothing_and_names_it() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 216, 2, &change()).await?;
+        rig.when("serving", 2).await?;
+        let (before, _) = rig.status().await?;
+        let file = rig.folder.join("fleet.json5");
+        let text = std::fs::read_to_string(&file)?;
+        let mut wanted: Value = serde_json::from_str(&text)?;
+        let mut other = wanted["groups"]["web"].clone();
+        (other["config"], other["listen"]) = (json!("nowhere.json"), json!("127.0.0.1:1"));
+        wanted["groups"]["api"] = other;
+        std::fs::write(&file, wanted.to_string())?;
+        let (word, why) = last(&rig, json!({ "op": "apply" })).await?;
+        assert!(
+            word == Word::Refused
+                && why["text"].as_str().is_some_and(|why| why.contains("groups.api.config")),
+            "{why}"
+        );
+        // And in bytes that are none of a file's.
+        std::fs::write(&file, "{ folder: ")?;
+        assert_eq!(last(&rig, json!({ "op": "apply" })).await?.0, Word::Refused);
+        std::fs::write(&file, text)?;
+        assert_eq!(last(&rig, json!({ "op": "apply" })).await?.0, Word::Done);
+        let (after, _) = rig.status().await?;
+        assert_eq!(before[0]["process"], after[0]["process"]);
+        Ok(())
+    });
+}
+
 #[test]
 fn a_program_that_can_not_take_over_ends_the_plan_and_the_old_one_serves_on() {
     play(async {
--- a/crates/merlinshelf-knowledge/src/members.rs
+++ b/crates/merlinshelf-knowledge/src/members.rs
@@ -293,9 +293,12 @@
             .filter(|(_, peer)| peer.told < enough)
             .map(|(name, peer)| (peer.told, name))
             .collect();
-        least.sort();
-        let names: Vec<String> =
-            least.into_iter().take(self.settings.news_most).map(|(_, name)| name.clone()).collect();
+        // Only the first few are wanted: of thousands the rest need not be in order.
+        let most = self.settings.news_most;
+        if least.len() > most && most > 0 {
+            least.select_nth_unstable(most - 1);
+        }
+        let names: Vec<String> = least.into_iter().take(most).map(|(_, name)| name.clone()).collect();
         let mut news = Vec::new();
         for name in names {
             if let Some(peer) = self.peers.get_mut(&name) {
--- a/crates/merlinshelf-lab/src/trial/fleet.rs
+++ b/crates/merlinshelf-lab/src/trial/fleet.rs
@@ -160,8 +160,9 @@
 pub async fn run(plan: &Plan) -> io::Result<(Value, bool)> {
     let mut all = Verdict::default();
     let (mut ratios, mut plains) = (Vec::new(), Vec::new());
-    for seed in plan.seed..plan.seed + plan.seeds {
-        let played = play(plan, seed, 230).await?;
+    for (number, seed) in (100_u8..230).cycle().zip(plan.seed..plan.seed + plan.seeds) {
+        // Stand-ins of the seed before still listen: each has addresses of its own.
+        let played = play(plan, seed, number).await?;
         let Played { verdict, before, during, took, plain } = played;
         println!(
             "seed {seed}: {} sent, {} lost, {} doubled, {} run twice; served {during:.4} in {took:.1} s of upgrade, {before:.4} \
@@ -178,8 +179,8 @@
     };
     let (ratio, plain) = (median(&mut ratios), median(&mut plains));
     let mut costs = Vec::new();
-    for count in [20, 200] {
-        let (share, memory_kb, status_ms) = cost(plan, count, 231).await?;
+    for (number, count) in [(240, 20), (241, 200)] {
+        let (share, memory_kb, status_ms) = cost(plan, count, number).await?;
         println!(
             "agent of {count}: {:.2}% of a core, {memory_kb} KB, a status in {status_ms:.1} ms",
             share * 100.0
