--- a/crates/merlinshelf-knowledge/src/lesson.rs
+++ b/crates/merlinshelf-knowledge/src/lesson.rs
@@ -102,7 +102,6 @@
             lowest: each(&|name| self.run(false, name)),
             below: each(&|name| self.below(name)),
             limit: of(Subject::Limit { engine: self.engine.clone() }),
-            call_time: of(Subject::CallRecent { dependency: dependency() }),
             call_lowest: of(Subject::CallLowest { dependency: dependency() }),
             call_limit: of(Subject::CallLimit { dependency: dependency() }),
             call_failures: of(Subject::CallFailures { dependency: dependency() }),
--- a/crates/merlinshelf-knowledge/tests/learner.rs
+++ b/crates/merlinshelf-knowledge/tests/learner.rs
@@ -90,7 +90,7 @@
     ask(100.0, &mut other, &mut steady(100.0, "teacher", 1.0));
     let of = other.beliefs(100.0);
     assert!(of.runs.iter().chain(&of.lowest).all(Option::is_none) && of.limit.is_none());
-    assert!(of.call_time.is_some() && of.below.iter().all(Option::is_some));
+    assert!(of.call_lowest.is_some() && of.below.iter().all(Option::is_some));
 }
 
 #[test]
--- a/crates/merlinshelf/src/lib.rs
+++ b/crates/merlinshelf/src/lib.rs
@@ -185,7 +185,6 @@
     pub below: Vec<Option<Believed>>,
     /// The limit of invocations in hand.
     pub limit: Option<Believed>,
-    pub call_time: Option<Believed>,
     pub call_lowest: Option<Believed>,
     pub call_limit: Option<Believed>,
     /// Calls that failed in a row.
--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -735,8 +735,7 @@
         let full = open >= (2.0 * limit).ceil().min(share.floor()).max(1.0);
         let room = share * window - self.used_below(window) - self.secs("FamilyInfo.StaysForUs", 0.0);
         // A call cut short stays below all the same: none without room for four mean ones.
-        let time = mean_beside(&self.call_times, self.beliefs.call_time);
-        let four = if time == 0.0 { f64::MAX } else { 4.0 * time };
+        let four = if self.call_times.is_empty() { f64::MAX } else { 4.0 * mean(&self.call_times) };
         // In a window longer than the told one backends take turns by seed: together they keep to the told.
         let told = self.secs("FamilyInfo.DepWindowUs", 5.0).max(1e-6);
         let turns = (window / told).ceil() as u64; // 1 or more
--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -477,7 +477,6 @@
         limit: word(6.0, 1.0),
         call_limit: word(1e6, 1.0),
         call_lowest: word(0.004, 0.7),
-        call_time: word(0.004, 0.7),
         lowest: vec![word(0.02, 0.7); 3],
         ..Beliefs::default()
     };
@@ -507,7 +506,6 @@
     let lie = Beliefs {
         runs: vec![word(0.06, 1.0); 3],
         below: vec![word(500.0, 1.0); 3],
-        call_time: word(500.0, 1.0),
         again: word(1.0, 1.0),
         back: word(0.0, 1.0),
         ..Beliefs::default()
