Keep peers in order of what is due and told least, so that 3,000 of them play through

Each wake, question and answer went through the whole table (members.rs: `woken`, `news`, `alive().count()` in `in_hurry`), so a moment cost in proportion to the fleet. Now a table of peers is kept beside an order by how often each was told and one by when its state ends, changed in one place (`Peers::put`). `Book::tell` no longer makes figures anew to weigh them.

`trial fleet` kills an instance outright in each rolling upgrade; what it held then is counted apart, as no longer its duty.

--- a/crates/merlinshelf-knowledge/src/book.rs
+++ b/crates/merlinshelf-knowledge/src/book.rs
@@ -127,15 +127,9 @@
         let mut all = self.all(now);
         if all.len() > most {
             let counts = |told: &Told| {
-                let figure = Figure {
-                    value: told.value,
-                    count: told.count,
-                    seen: now - told.age,
-                    number: told.number,
-                    hops: told.hops,
-                    standing: told.standing,
-                };
-                weight(now, &told.subject, &figure) + f64::from(u8::from(told.origin == self.own))
+                let Told { subject, count, age, hops, standing, .. } = told;
+                counts_for(subject, *count, *age, *hops, *standing)
+                    + f64::from(u8::from(told.origin == self.own))
             };
             all.sort_by(|a, b| counts(b).total_cmp(&counts(a)));
             all.truncate(most);
@@ -226,9 +220,14 @@
 
 /// How much a figure counts, 0 to 1: by its samples, its age, its way and its teacher's standing.
 pub fn weight(now: f64, subject: &Subject, figure: &Figure) -> f64 {
-    let samples = f64::from(figure.count);
+    counts_for(subject, figure.count, (now - figure.seen).max(0.0), figure.hops, figure.standing)
+}
+
+/// The same of a figure with so many samples, so old, over so many others.
+fn counts_for(subject: &Subject, count: u32, age: f64, hops: u8, standing: Standing) -> f64 {
+    let samples = f64::from(count);
     let sure = samples / (samples + HALF_SURE);
-    let fresh = 0.5_f64.powf((now - figure.seen).max(0.0) / subject.half_life());
-    let way = 0.5_f64.powi(i32::from(figure.hops.saturating_sub(1)));
-    sure * fresh * way * figure.standing.trust(subject)
+    let fresh = 0.5_f64.powf(age / subject.half_life());
+    let way = 0.5_f64.powi(i32::from(hops.saturating_sub(1)));
+    sure * fresh * way * standing.trust(subject)
 }
--- a/crates/merlinshelf-knowledge/src/learner.rs
+++ b/crates/merlinshelf-knowledge/src/learner.rs
@@ -143,7 +143,7 @@
     }
 
     fn in_hurry(&self, now: f64) -> bool {
-        let taught_by_all = self.lessons.len() >= HURRY_UNTIL.min(self.members.alive().count().max(1));
+        let taught_by_all = self.lessons.len() >= HURRY_UNTIL.min(self.members.count_alive().max(1));
         now < self.began + HURRY_FOR && !taught_by_all && !self.leaves
     }
 
--- a/crates/merlinshelf-knowledge/src/members.rs
+++ b/crates/merlinshelf-knowledge/src/members.rs
@@ -2,9 +2,11 @@
 //! those that asked. What a peer costs does not grow with how many there are.
 //!
 //! A peer is asked in an order drawn anew for each round, so that each is asked once a round by each; the news that go with
-//! a question or an answer are few, and each is told a number of times that grows with the logarithm of the table alone.
+//! a question or an answer are few, and each is told a number of times that grows with the logarithm of the table alone. Nor does a moment
+//! cost more than that: what is due next and what was told least are kept in order.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +84,55 @@
     told: u32,
 }
 
+/// Peers by name, with what is asked of them at every moment kept beside. `put` is the one place where any of it changes.
+#[derive(Clone, Debug, Default)]
+struct Peers {
+    all: BTreeMap<Arc<str>, Peer>,
+    /// By how often the newest word of them was told.
+    told: BTreeSet<(u32, Arc<str>)>,
+    /// By the moment at which one that is suspected is gone, and one that is gone forgotten.
+    due: BTreeSet<(u64, Arc<str>)>,
+    alive: usize,
+}
+
+/// A moment as a number that is ordered alike.
+fn ordered(moment: f64) -> u64 {
+    let bits = moment.to_bits();
+    if bits >> 63 == 0 { bits | 1 << 63 } else { !bits }
+}
+
+impl Peers {
+    /// This is known of a peer from now on; nothing: it is forgotten.
+    fn put(&mut self, name: &Arc<str>, peer: Option<Peer>, settings: &Settings) {
+        let due = |peer: &Peer| match peer.state {
+            State::Alive => None,
+            State::Suspect => Some(ordered(peer.since + settings.suspect_for)),
+            State::Left | State::Gone => Some(ordered(peer.since + settings.forget_after)),
+        };
+        if let Some(before) = self.all.remove(name) {
+            self.told.remove(&(before.told, name.clone()));
+            if let Some(due) = due(&before) {
+                self.due.remove(&(due, name.clone()));
+            }
+            self.alive -= usize::from(before.state == State::Alive);
+        }
+        if let Some(peer) = peer {
+            self.told.insert((peer.told, name.clone()));
+            if let Some(due) = due(&peer) {
+                self.due.insert((due, name.clone()));
+            }
+            self.alive += usize::from(peer.state == State::Alive);
+            self.all.insert(name.clone(), peer);
+        }
+    }
+
+    /// The next one whose state ends by then.
+    fn due(&self, now: f64) -> Option<(Arc<str>, Peer)> {
+        let (_, name) = self.due.first().filter(|(due, _)| *due <= ordered(now))?;
+        self.all.get(name).map(|peer| (name.clone(), peer.clone()))
+    }
+}
+
 /// The peers of one instance.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -90,11 +141,11 @@
     own_told: u32,
     seeds: Vec<String>,
     settings: Settings,
-    peers: BTreeMap<String, Peer>,
+    peers: Peers,
     /// Names still to be asked in this round.
-    round: VecDeque<String>,
+    round: VecDeque<Arc<str>>,
     /// Who was asked, and until when its answer counts.
-    asked: Vec<(String, f64)>,
+    asked: Vec<(Arc<str>, f64)>,
     ask_at: f64,
     steps: VecDeque<Step>,
 }
@@ -119,7 +170,7 @@
             own_told: 0,
             seeds,
             settings,
-            peers: BTreeMap::new(),
+            peers: Peers::default(),
             round: VecDeque::new(),
             asked: Vec::new(),
             ask_at: now,
@@ -138,20 +189,25 @@
 
     /// Peers that can be asked, by name and address.
     pub fn alive(&self) -> impl Iterator<Item = (&str, &str)> {
-        let alive = self.peers.iter().filter(|(_, peer)| peer.state == State::Alive);
-        alive.map(|(name, peer)| (name.as_str(), peer.address.as_str()))
+        let alive = self.peers.all.iter().filter(|(_, peer)| peer.state == State::Alive);
+        alive.map(|(name, peer)| (&**name, peer.address.as_str()))
+    }
+
+    /// How many can be asked.
+    pub fn count_alive(&self) -> usize {
+        self.peers.alive
     }
 
     pub fn state_of(&self, name: &str) -> Option<State> {
-        self.peers.get(name).map(|peer| peer.state)
+        self.peers.all.get(name).map(|peer| peer.state)
     }
 
     pub fn len(&self) -> usize {
-        self.peers.len()
+        self.peers.all.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
+        self.peers.all.is_empty()
     }
 
     /// This instance leaves: it says so to whom it still asks or answers.
@@ -162,16 +218,14 @@
     /// A moment that it asked for has come. `chance` is a number from 0 to under 1, another at each call.
     /// One in a hurry asks several at once and again soon.
     pub fn woken(&mut self, now: f64, hurry: bool, chance: &mut dyn FnMut() -> f64) {
-        let late: Vec<String> =
+        let late: Vec<Arc<str>> =
             self.asked.extract_if(.., |(_, until)| now >= *until).map(|(name, _)| name).collect();
         late.iter().for_each(|name| self.silent(now, name));
-        for peer in self.peers.values_mut() {
-            if peer.state == State::Suspect && now >= peer.since + self.settings.suspect_for {
-                (peer.state, peer.since, peer.told) = (State::Gone, now, 0);
-            }
+        while let Some((name, peer)) = self.peers.due(now) {
+            let gone = Peer { state: State::Gone, since: now, told: 0, ..peer.clone() };
+            let after = (peer.state == State::Suspect).then_some(gone);
+            self.peers.put(&name, after, &self.settings);
         }
-        let keep = self.settings.forget_after;
-        self.peers.retain(|_, peer| peer.state <= State::Suspect || now < peer.since + keep);
         if now < self.ask_at {
             return;
         }
@@ -202,12 +256,12 @@
     /// All that may be there, in an order by chance; seeds too, by their address, as long as nobody is known there: so
     /// that parts that lost sight of each other find together again.
     fn new_round(&mut self, chance: &mut dyn FnMut() -> f64) {
-        let may = self.peers.iter().filter(|(_, peer)| peer.state <= State::Suspect);
-        let mut names: Vec<String> = may.map(|(name, _)| name.clone()).collect();
+        let may = self.peers.all.iter().filter(|(_, peer)| peer.state <= State::Suspect);
+        let mut names: Vec<Arc<str>> = may.map(|(name, _)| name.clone()).collect();
         let unknown = self.seeds.iter().filter(|seed| {
-            !self.peers.values().any(|peer| peer.address == **seed && peer.state <= State::Suspect)
+            !self.peers.all.values().any(|peer| peer.address == **seed && peer.state <= State::Suspect)
         });
-        names.extend(unknown.map(|seed| format!("@{seed}")));
+        names.extend(unknown.map(|seed| format!("@{seed}").into()));
         for place in (1..names.len()).rev() {
             names.swap(place, (chance() * (place + 1) as f64) as usize);
         }
@@ -218,7 +272,7 @@
         if let Some(seed) = name.strip_prefix('@') {
             return Some(seed.to_owned());
         }
-        self.peers.get(name).filter(|peer| peer.state <= State::Suspect).map(|peer| peer.address.clone())
+        self.peers.all.get(name).filter(|peer| peer.state <= State::Suspect).map(|peer| peer.address.clone())
     }
 
     /// Somebody asked, and told this of itself and of others; the news to answer with.
@@ -231,15 +285,17 @@
     /// Who was asked has answered, with this of itself and of others.
     pub fn answered(&mut self, now: f64, from: &News, news: &[News]) {
         self.asked.retain(|(name, _)| {
-            *name != from.name && name.strip_prefix('@').is_none_or(|seed| seed != from.address)
+            **name != *from.name && name.strip_prefix('@').is_none_or(|seed| seed != from.address)
         });
         self.heard(now, from);
         news.iter().for_each(|news| self.heard(now, news));
     }
 
     fn silent(&mut self, now: f64, name: &str) {
-        if let Some(peer) = self.peers.get_mut(name).filter(|peer| peer.state == State::Alive) {
-            (peer.state, peer.since, peer.told) = (State::Suspect, now, 0);
+        let Some((name, peer)) = self.peers.all.get_key_value(name) else { return };
+        if peer.state == State::Alive {
+            let suspect = Peer { state: State::Suspect, since: now, told: 0, ..peer.clone() };
+            self.peers.put(&name.clone(), Some(suspect), &self.settings);
         }
     }
 
@@ -260,22 +316,17 @@
         {
             return;
         }
-        let (told, room) = (0, self.peers.len() < self.settings.peers_most);
-        let News { address, life, turn, state, .. } = news.clone();
-        let heard = Peer { address, life, turn, state, since: now, told };
-        match self.peers.get_mut(&news.name) {
-            Some(known) => {
-                let newer = (heard.life, heard.turn, heard.state) > (known.life, known.turn, known.state);
-                if newer {
-                    *known = heard;
-                }
-            }
+        let known = self.peers.all.get_key_value(news.name.as_str());
+        let newer = match known {
+            Some((_, known)) => (news.life, news.turn, news.state) > (known.life, known.turn, known.state),
             // Of one that was never here nobody needs to know that it is gone.
-            None if state > State::Suspect => {}
-            None if room => {
-                self.peers.insert(news.name.clone(), heard);
-            }
-            None => {}
+            None => news.state <= State::Suspect && self.peers.all.len() < self.settings.peers_most,
+        };
+        if newer {
+            let name = known.map_or_else(|| news.name.as_str().into(), |(name, _)| name.clone());
+            let News { address, life, turn, state, .. } = news.clone();
+            let heard = Peer { address, life, turn, state, since: now, told: 0 };
+            self.peers.put(&name, Some(heard), &self.settings);
         }
     }
 
@@ -286,31 +337,21 @@
 
     /// The news that were told least, of those that were not told often enough.
     fn news(&mut self) -> Vec<News> {
-        let enough = TOLD_EACH * (usize::BITS - self.peers.len().leading_zeros() + 1);
-        let mut least: Vec<(u32, &String)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.told < enough)
-            .map(|(name, peer)| (peer.told, name))
-            .collect();
-        // Only the first few are wanted: of thousands the rest need not be in order.
-        let most = self.settings.news_most;
-        if least.len() > most && most > 0 {
-            least.select_nth_unstable(most - 1);
-        }
-        let names: Vec<String> = least.into_iter().take(most).map(|(_, name)| name.clone()).collect();
+        let enough = TOLD_EACH * (usize::BITS - self.peers.all.len().leading_zeros() + 1);
+        let least = self.peers.told.iter().take_while(|(told, _)| *told < enough);
+        let names: Vec<Arc<str>> =
+            least.take(self.settings.news_most).map(|(_, name)| name.clone()).collect();
         let mut news = Vec::new();
         for name in names {
-            if let Some(peer) = self.peers.get_mut(&name) {
-                peer.told += 1;
-                news.push(News {
-                    name,
-                    address: peer.address.clone(),
-                    life: peer.life,
-                    turn: peer.turn,
-                    state: peer.state,
-                });
-            }
+            let Some(peer) = self.peers.all.get(&name).cloned() else { continue };
+            news.push(News {
+                name: name.to_string(),
+                address: peer.address.clone(),
+                life: peer.life,
+                turn: peer.turn,
+                state: peer.state,
+            });
+            self.peers.put(&name, Some(Peer { told: peer.told + 1, ..peer }), &self.settings);
         }
         news
     }
--- a/crates/merlinshelf-lab/src/fleet.rs
+++ b/crates/merlinshelf-lab/src/fleet.rs
@@ -251,6 +251,7 @@
         sum.refused += one.refused;
         sum.failed += one.failed;
         sum.lost += one.lost;
+        sum.held_by_killed += one.held_by_killed;
         sum.doubled += one.doubled;
         sum.spoilt += one.spoilt;
         sum.run_twice += one.run_twice;
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -57,6 +57,8 @@
     pub broken: u64,
     /// Answers to nothing that was open.
     pub astray: u64,
+    /// When the instance was killed outright.
+    pub killed: Vec<Instant>,
     closing: bool,
 }
 
@@ -71,6 +73,8 @@
     pub failed: u64,
     /// No answer, or none in time.
     pub lost: u64,
+    /// No answer, held by an instance when it was killed outright: no longer its duty.
+    pub held_by_killed: u64,
     pub doubled: u64,
     /// Served with what no run made of it.
     pub spoilt: u64,
@@ -318,6 +322,7 @@
             match sent.answers.first() {
                 // The rules on sockets give 50 ms more.
                 Some((at, _)) if *at > sent.at + patience + Duration::from_millis(50) => verdict.lost += 1,
+                None if self.held_by_killed(sent, patience) => verdict.held_by_killed += 1,
                 None => verdict.lost += 1,
                 Some((_, 200)) => verdict.served += 1,
                 Some((_, 429 | 503)) => verdict.refused += 1,
@@ -327,6 +332,11 @@
         verdict
     }
 
+    /// Whether an instance was killed while it may have held this: sent before that, or crossing it.
+    fn held_by_killed(&self, sent: &Sent, patience: Duration) -> bool {
+        self.killed.iter().any(|at| sent.at <= *at + CROSSED && *at <= sent.at + patience)
+    }
+
     /// How long served answers took that were asked for or came in this time, in microseconds.
     pub fn latencies(&self, from: Instant, until: Instant) -> Histogram<u64> {
         let mut histogram =
--- a/crates/merlinshelf-lab/src/trial/learning/fleet.rs
+++ b/crates/merlinshelf-lab/src/trial/learning/fleet.rs
@@ -211,7 +211,7 @@
     world.measured = if count > 1000 { 97 } else { 1 };
     world.all_see(24, 1.0);
     // Half of all know nearly all: the tables of the largest fleets fill slowly, and no figure waits for that.
-    let met = |one: &Learner| one.members().alive().count() * 10 >= (count - 1) * 9;
+    let met = |one: &Learner| one.members().count_alive() * 10 >= (count - 1) * 9;
     let _ = world.when(240.0, met);
     world.until(world.now + 10.0);
     let (from, messages, bytes) = (world.now, world.messages, world.bytes);
