--- a/crates/merlinshelf-dependencies/src/limits.rs
+++ b/crates/merlinshelf-dependencies/src/limits.rs
@@ -15,6 +15,8 @@
     since_step: f64,
     /// The limit to go back to, while the lowest is taken anew.
     probing: Option<f64>,
+    /// The limit and the mean from which it fell last.
+    fell_from: Option<(f64, f64)>,
 }
 
 /// Means of 8 stray by a third, the lowest of many lies as far under: twice that may be chance, three times is not.
@@ -24,6 +26,10 @@
 /// Steps until the lowest is taken anew, at a quarter of the limit for one step: under its own queue (which at half would still be half) it would only rise.
 const PROBE: u32 = 100;
 const STEP: f64 = 0.1;
+/// A queue of calls halves with them. Where half as many take more than so much of what all took, it was no queue: the dependency has
+/// become slower by itself, and to fall further would only cost.
+const HALVED: f64 = 0.5;
+const NO_QUEUE_FROM: f64 = 0.8;
 
 impl Limit {
     pub fn new(first: f64, most: f64) -> Limit {
@@ -36,6 +42,7 @@
             until_probe: PROBE,
             since_step: 0.0,
             probing: None,
+            fell_from: None,
         }
     }
 
@@ -79,8 +86,16 @@
         let queued = 1.0 - self.lowest / recent;
         let used = 2.0 * (open as f64 + 1.0) >= self.limit.floor();
         if queued > FALLS_OVER {
+            let (from, took) = *self.fell_from.get_or_insert((self.limit, recent));
             self.limit *= 1.0 - STEP;
+            if self.limit <= HALVED * from || self.limit <= 1.0 {
+                if recent > NO_QUEUE_FROM * took {
+                    self.lowest = recent;
+                }
+                self.fell_from = None;
+            }
         } else if queued < RISES_UNDER && used {
+            self.fell_from = None;
             self.limit *= 1.0 + STEP;
         }
         self.limit = self.limit.clamp(1.0, self.most);
@@ -130,6 +145,11 @@
         *self.open.entry(operation).or_default() += 1;
     }
 
+    /// A call that waited is wanted no more.
+    pub fn forget(&mut self, call: u64) {
+        self.queues.values_mut().for_each(|queue| queue.retain(|(known, _)| *known != call));
+    }
+
     pub fn ended(&mut self, operation: usize) {
         if let Some(open) = self.open.get_mut(&operation) {
             *open = open.saturating_sub(1);
--- a/crates/merlinshelf-dependencies/src/wanted.rs
+++ b/crates/merlinshelf-dependencies/src/wanted.rs
@@ -4,16 +4,22 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Dependencies {
+    /// The zone of this instance; servers of the same are preferred while they do not cost twice what others do.
+    pub zone: String,
+    /// By name.
     pub dependencies: BTreeMap<String, Dependency>,
+    /// By the operation's name in the platform's settings: the calls that its runs make. Calls of other operations go to the
+    /// platform's catalogue as ever.
     pub operations: BTreeMap<String, Operation>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Dependency {
     pub servers: Vec<ServerOf>,
@@ -28,7 +34,7 @@
     pub instead: Option<String>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ServerOf {
     pub address: String,
@@ -38,7 +44,7 @@
     pub weight: f64,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Operation {
     pub calls: Vec<Call>,
@@ -47,7 +53,7 @@
     pub at_once: bool,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Call {
     pub to: String,
@@ -60,6 +66,22 @@
     /// The part of the billed value that is lost without it, 0 to 1.
     #[serde(default)]
     pub cost: f64,
+    /// What the run gets where the call can't be had; the result is then marked as partial.
+    #[serde(default)]
+    pub instead: Instead,
+}
+
+/// In place of a reply that can't be had.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Instead {
+    /// Nothing: the run goes on without, or fails where the call is needed.
+    #[default]
+    Nothing,
+    /// This text.
+    Fixed(String),
+    /// The last good reply to the same question, no older than so many seconds; where none is kept, nothing.
+    Kept { within_s: f64 },
 }
 
 fn half() -> f64 {
@@ -118,6 +140,9 @@
         }
         for (name, of) in &self.operations {
             let mut shares = 0.0;
+            if of.at_once {
+                whys.push(format!("operations.{name}.at_once: calls of one run at once are not served yet"));
+            }
             for (place, call) in of.calls.iter().enumerate() {
                 let at = format!("operations.{name}.calls[{place}]");
                 if !self.dependencies.contains_key(&call.to) {
@@ -129,6 +154,11 @@
                     }
                     shares += share;
                 }
+                if let Instead::Kept { within_s } = call.instead
+                    && !(within_s > 0.0 && within_s.is_finite())
+                {
+                    whys.push(format!("{at}.instead.kept.within_s: {within_s} is not above 0"));
+                }
                 if !part(call.cost) {
                     whys.push(format!("{at}.cost: {} is not from 0 to 1", call.cost));
                 }
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -192,7 +192,9 @@
             let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
             local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
         }
-        Command::Trial { trial: Trial::Fleet { seed, seeds, instances, rate, kills, kill_instances, program } } => {
+        Command::Trial {
+            trial: Trial::Fleet { seed, seeds, instances, rate, kills, kill_instances, program },
+        } => {
             let program = std::fs::canonicalize(found(program)?)?;
             let plan = trial::fleet::Plan { seed, seeds, instances, rate, kills, kill_instances, program };
             local.block_on(&runtime, trial::fleet::run(&plan)).map(|(_, clean)| clean)
