Serve several dependencies: the operators' file, names in NEED, routed attempts, partial answers

Need: the decisions on dependencies stood in no service. Now `dependencies` in the operators' file switches them on: the router's attempts are carried out beside plain calls (client/catalogue.rs), its ends reach the exchange as replies, lesser answers or failures, and a result that is without a part is sent with X-Partial and counted apart. Lists are read anew with SIGHUP; an upgrade carries open lines as plain calls and the parts that are missing with their invocation. ATTACH offers NAMES/1 only where the file has dependencies; an engine that closes such a link is asked plainly next. A name that was not agreed ends the link.

Without the file nothing changes: `routing` is none, all calls go the way they went, ATTACH has its one number.

--- a/crates/merlinshelf-backend/src/client/catalogue.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue.rs
@@ -2,13 +2,14 @@
 //! other; connections are kept for the next call for a while.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use log::{debug, warn};
+use merlinshelf_dependencies::Step;
 use merlinshelf_handover::{Flow, Key, Role, records};
 use merlinshelf_protocol::CallId;
 use merlinshelf_protocol::catalogue::{self, Reply};
@@ -24,6 +25,7 @@
 use crate::exchange::{CallNumber, Called, Deposit, Order, Shared, pass};
 use crate::fault;
 use crate::ring::{Moved, Ring};
+use crate::routing::{self, CallKey};
 
 /// How long a connection is kept idle. The far end closes or forgets idle ones, and a call that meets this has
 /// an end that proves nothing; a new connection costs a fraction of a millisecond.
@@ -49,6 +51,8 @@
     number: CallNumber,
     wait: f64,
     body: Rc<[u8]>,
+    /// The attempt, where dependencies are told apart; 0 for a plain call.
+    attempt: u64,
 }
 
 /// How a call's task has ended.
@@ -61,15 +65,19 @@
     Frozen,
 }
 
-type CallKey = (CallId, CallNumber);
+/// Which attempt of which call: of a plain call there is one.
+type Attempt = (CallId, CallNumber, u64);
 
 /// What is open, waits or stands idle. Whatever ends a call, its line is given back in `ended`, or closed by
 /// ending its task.
 struct Calls {
     exchange: Shared,
     address: SocketAddr,
-    tasks: JoinSet<(CallKey, Made)>,
-    open: HashMap<CallKey, AbortHandle>,
+    tasks: JoinSet<(Attempt, Made)>,
+    open: BTreeMap<Attempt, AbortHandle>,
+    /// The calls that go to dependencies, with their questions, where the operators name some.
+    routing: Option<routing::Shared>,
+    questions: HashMap<CallKey, Rc<[u8]>>,
     waiting: VecDeque<Call>,
     /// The longest idle first.
     idle: VecDeque<Line>,
@@ -80,20 +88,30 @@
 pub type Resumed = (TcpStream, u64, records::Line);
 
 /// Makes calls until everything is to stop where it stands; goes on with those that another process has begun.
-pub async fn serve(mut peers: Watched, exchange: Shared, most: usize, resumed: Rc<RefCell<Vec<Resumed>>>) {
+pub async fn serve(
+    mut peers: Watched,
+    exchange: Shared,
+    most: usize,
+    resumed: Rc<RefCell<Vec<Resumed>>>,
+    routing: Option<routing::Shared>,
+) {
     let wake = exchange.borrow().orders_wake();
     let mut freezing = exchange.borrow().freezing();
     let address = peers.borrow_and_update().catalogue;
-    let (tasks, open) = (JoinSet::new(), HashMap::new());
+    let (tasks, open, questions) = (JoinSet::new(), BTreeMap::new(), HashMap::new());
     let (waiting, idle) = (VecDeque::new(), VecDeque::new());
-    let mut calls = Calls { exchange, address, tasks, open, waiting, idle, most };
+    let routed = routing.as_ref().map_or_else(Rc::default, |routing| routing.borrow().wake());
+    let mut calls = Calls { exchange, address, tasks, open, routing, questions, waiting, idle, most };
     resumed.take().into_iter().for_each(|line| calls.resume(line));
     loop {
         calls.take_orders();
         calls.begin();
+        let due = calls.routing.as_ref().and_then(|routing| routing.borrow().wake_at());
         let oldest = calls.idle.front().map(|line| line.idle_since + IDLE_MOST);
         select! {
             () = wake.notified() => {}
+            () = routed.notified() => {}
+            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => calls.woken(),
             Some(ended) = calls.tasks.join_next() => calls.ended(ended),
             Ok(()) = peers.changed() => calls.move_to(peers.borrow_and_update().catalogue),
             () = sleep_until(oldest.unwrap_or_else(Instant::now)), if oldest.is_some() => calls.trim(),
@@ -105,6 +123,9 @@
     while let Some(ended) = calls.tasks.join_next().await {
         calls.ended(ended);
     }
+    if let Some(routing) = &calls.routing {
+        routing.borrow_mut().forget_open();
+    }
 }
 
 impl Calls {
@@ -112,29 +133,94 @@
         loop {
             let order = self.exchange.borrow_mut().next_order();
             match order {
-                Some(Order::Invoke { id, number, wait, body }) => {
-                    self.waiting.push_back(Call { id, number, wait, body });
-                }
-                // Closing its connection gives a call up, with nothing of it left to come.
-                Some(Order::GiveUp { id, number }) => match self.open.remove(&(id, number)) {
-                    Some(task) => task.abort(),
-                    None => self.waiting.retain(|call| (call.id, call.number) != (id, number)),
+                Some(Order::Invoke { id, number, wait, body, wanted }) => match &self.routing {
+                    Some(routing) if routing.borrow().knows(&wanted) => {
+                        self.questions.insert((id, number), body.clone());
+                        routing.borrow_mut().ask(&self.exchange, (id, number), wait, &body, &wanted);
+                    }
+                    _ => self.waiting.push_back(Call { id, number, wait, body, attempt: 0 }),
                 },
+                // Closing its connection gives a call up, with nothing of it left to come.
+                Some(Order::GiveUp { id, number }) => {
+                    self.questions.remove(&(id, number));
+                    if let Some(routing) = &self.routing {
+                        routing.borrow_mut().give_up(&self.exchange, (id, number));
+                    }
+                    self.waiting.retain(|call| (call.id, call.number) != (id, number));
+                    let open: Vec<Attempt> = self
+                        .open
+                        .range((id, number, 0)..=(id, number, u64::MAX))
+                        .map(|(key, _)| *key)
+                        .collect();
+                    open.iter().filter_map(|key| self.open.remove(key)).for_each(|task| task.abort());
+                }
                 None => return,
             }
         }
     }
 
     fn begin(&mut self) {
+        self.take_steps();
         while self.tasks.len() < self.most {
             let Some(call) = self.waiting.pop_front() else { return };
-            let key = (call.id, call.number);
-            let (line, address, exchange) = (self.line(call.id), self.address, self.exchange.clone());
-            let task = async move { (key, make(call, line, address, &exchange).await) };
-            self.open.insert(key, self.tasks.spawn_local(task));
+            self.make(call, self.address);
         }
     }
 
+    fn make(&mut self, call: Call, address: SocketAddr) {
+        let key = (call.id, call.number, call.attempt);
+        let (line, exchange, routing) =
+            (self.line(call.id, address), self.exchange.clone(), self.routing.clone());
+        let task = async move { (key, make(call, line, address, &exchange, routing.as_ref()).await) };
+        self.open.insert(key, self.tasks.spawn_local(task));
+    }
+
+    /// Makes and gives up the attempts that were decided on.
+    fn take_steps(&mut self) {
+        let Some(routing) = self.routing.clone() else { return };
+        loop {
+            let step = routing.borrow_mut().next();
+            match step {
+                Some(Step::Attempt { ticket, attempt, server, wait }) => {
+                    if self.tasks.len() >= self.most {
+                        let step = Step::Attempt { ticket, attempt, server, wait };
+                        return routing.borrow_mut().put_back(step);
+                    }
+                    let key = routing.borrow().call_of(ticket);
+                    let Some((id, number)) = key else { continue };
+                    let Some(body) = self.questions.get(&(id, number)).cloned() else { continue };
+                    match server.parse() {
+                        Ok(address) => self.make(Call { id, number, wait, body, attempt }, address),
+                        Err(_) => routing.borrow_mut().ended(&self.exchange, attempt, &Called::NeverRan),
+                    }
+                }
+                Some(Step::GiveUp { attempt }) => {
+                    let open = self.open.keys().find(|(_, _, one)| *one == attempt).copied();
+                    if let Some(task) = open.and_then(|key| self.open.remove(&key)) {
+                        task.abort();
+                    }
+                }
+                Some(Step::Over { .. }) => {}
+                None => break,
+            }
+        }
+        // The questions of calls that are over are wanted no more.
+        if self.questions.len() > 2 * self.most.max(64) {
+            self.questions.retain(|key, _| routing.borrow().is_open(*key));
+        }
+    }
+
+    fn woken(&mut self) {
+        if let Some(routing) = &self.routing {
+            routing.borrow_mut().woken(&self.exchange);
+        }
+    }
+
+    /// An attempt has ended and is told here.
+    fn told(&self, (id, number, attempt): Attempt, called: Called) {
+        tell(&self.exchange, self.routing.as_ref(), (id, number, attempt), called);
+    }
+
     /// Goes on with a call that another process has begun.
     fn resume(&mut self, (socket, stream, record): Resumed) {
         let (Some(id), Ok(address)) = (CallId::read(&record.id), record.address.parse()) else { return };
@@ -148,14 +234,16 @@
             carried: record.carried.iter().filter_map(|id| CallId::read(id)).collect(),
             idle_since: Instant::now(),
         };
-        let (key, exchange) = ((id, record.number), self.exchange.clone());
-        let task = async move { (key, carry(line, key, &exchange, "a line of the predecessor").await) };
+        // To whichever server it goes, its end is the call's.
+        let (key, exchange) = ((id, record.number, 0), self.exchange.clone());
+        let task = async move { (key, carry(line, key, &exchange, None, "a line of the predecessor").await) };
         self.open.insert(key, self.tasks.spawn_local(task));
     }
 
     /// The line that was used last, of those that never carried a call of this invocation.
-    fn line(&mut self, id: CallId) -> Option<Line> {
-        while let Some(place) = self.idle.iter().rposition(|line| !line.carried.contains(&id)) {
+    fn line(&mut self, id: CallId, address: SocketAddr) -> Option<Line> {
+        let usable = |line: &Line| line.address == address && !line.carried.contains(&id);
+        while let Some(place) = self.idle.iter().rposition(usable) {
             let mut line = self.idle.remove(place)?;
             // What has come on it since belongs to no call, and its far end may have closed it.
             match line.coming.fill(&line.socket) {
@@ -166,14 +254,15 @@
         None
     }
 
-    fn ended(&mut self, ended: Result<(CallKey, Made), JoinError>) {
+    fn ended(&mut self, ended: Result<(Attempt, Made), JoinError>) {
         match ended {
             Ok((key, Made::Frozen | Made::Told)) => _ = self.open.remove(&key),
             Ok((key, Made::Ended(called, line))) => {
                 let awaited = self.open.remove(&key).is_some();
-                self.idle.extend(line.map(|line| *line).filter(|line| line.address == self.address));
+                self.idle
+                    .extend(line.map(|line| *line).filter(|line| key.2 > 0 || line.address == self.address));
                 if awaited {
-                    self.exchange.borrow_mut().call_ended(key.0, key.1, called);
+                    self.told(key, called);
                 }
             }
             Err(error) if error.is_cancelled() => {}
@@ -181,7 +270,7 @@
                 let panicked = self.open.iter().find(|(_, task)| task.id() == error.id());
                 if let Some(key) = panicked.map(|(key, _)| *key) {
                     self.open.remove(&key);
-                    self.exchange.borrow_mut().call_ended(key.0, key.1, Called::Failed);
+                    self.told(key, Called::Failed);
                 }
             }
         }
@@ -196,14 +285,20 @@
     /// New calls go to another address; those that are open end where they are.
     fn move_to(&mut self, address: SocketAddr) {
         if address != self.address {
-            self.address = address;
-            self.idle.clear();
+            let before = std::mem::replace(&mut self.address, address);
+            self.idle.retain(|line| line.address != before);
         }
     }
 }
 
 /// Makes one call.
-async fn make(call: Call, kept: Option<Line>, address: SocketAddr, exchange: &Shared) -> Made {
+async fn make(
+    call: Call,
+    kept: Option<Line>,
+    address: SocketAddr,
+    exchange: &Shared,
+    routing: Option<&routing::Shared>,
+) -> Made {
     let (reused, mut freezing) = (kept.is_some(), exchange.borrow().freezing());
     let mut line = match kept {
         Some(line) => line,
@@ -228,7 +323,7 @@
     };
     line.carried.push(call.id);
     catalogue::invoke(&mut line.going, call.id, (call.wait * 1e3).ceil() as u64, &call.body);
-    carry(line, (call.id, call.number), exchange, &kind).await
+    carry(line, (call.id, call.number, call.attempt), exchange, routing, &kind).await
 }
 
 /// A new line, known to a predecessor that watches before anything goes over it.
@@ -255,7 +350,13 @@
 }
 
 /// Carries a call whose question is in the line's ring, to its end or until everything stops where it stands.
-async fn carry(line: Line, call: CallKey, exchange: &Shared, kind: &str) -> Made {
+async fn carry(
+    line: Line,
+    call: Attempt,
+    exchange: &Shared,
+    routing: Option<&routing::Shared>,
+    kind: &str,
+) -> Made {
     let mut held = Held { line: Some(line), exchange: exchange.clone() };
     let Some(line) = held.line.as_mut() else { return Made::Frozen };
     let ended = line.call(call, exchange).await;
@@ -279,7 +380,7 @@
             if exchange.borrow().notes() {
                 // What the reply changes and that its line is gone are noted together. None is kept idle meanwhile:
                 // the predecessor would have to follow it.
-                exchange.borrow_mut().call_ended(call.0, call.1, called);
+                tell(exchange, routing, call, called);
                 return Made::Told;
             }
             let usable = |line: &Line| line.coming.is_empty() && line.carried.len() < CALLS_MOST;
@@ -292,9 +393,22 @@
     }
 }
 
+/// Tells how an attempt has ended: those of a dependency to what decides on further ones.
+fn tell(
+    exchange: &Shared,
+    routing: Option<&routing::Shared>,
+    (id, number, attempt): Attempt,
+    called: Called,
+) {
+    match routing.filter(|_| attempt > 0) {
+        Some(routing) => routing.borrow_mut().ended(exchange, attempt, &called),
+        None => exchange.borrow_mut().call_ended(id, number, called),
+    }
+}
+
 impl Line {
     /// How it stands, for a process that carries it on.
-    fn record(&self, (id, number): CallKey) -> records::Line {
+    fn record(&self, (id, number, _): Attempt) -> records::Line {
         records::Line {
             address: self.address.to_string(),
             id: ByteBuf::from(id.as_bytes()),
@@ -310,7 +424,7 @@
     }
 
     /// Notes how it stands, where a predecessor watches: before anything of it shows.
-    fn secure(&self, call: CallKey, exchange: &Shared) {
+    fn secure(&self, call: Attempt, exchange: &Shared) {
         let mut exchange = exchange.borrow_mut();
         if exchange.notes() {
             exchange.stage(Key::Line(self.stream), &self.record(call));
@@ -329,7 +443,7 @@
     }
 
     /// The end of a call; none where everything stops where it stands.
-    async fn call(&mut self, call: CallKey, exchange: &Shared) -> io::Result<Option<Called>> {
+    async fn call(&mut self, call: Attempt, exchange: &Shared) -> io::Result<Option<Called>> {
         let mut freezing = exchange.borrow().freezing();
         loop {
             if !self.going.is_empty() {
--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -10,6 +10,7 @@
 
 use log::{debug, info, warn};
 use merlinshelf_handover::{Flow, Key, Role, records};
+use merlinshelf_protocol::Fault;
 use merlinshelf_protocol::engine::{self, Notice};
 use rustix::net::{Shutdown, shutdown};
 use tokio::io::Interest;
@@ -44,6 +45,8 @@
     /// tag of the next question, whose answer proves that it was read.
     unsure: VecDeque<(u64, Command, u64)>,
     tag: u64,
+    /// Whether the next link offers that calls may name their dependency: an engine that does not know of it closes such a link.
+    offer: bool,
     /// When the engine was started, as it said.
     born: Option<Instant>,
 }
@@ -59,6 +62,8 @@
     hello: bool,
     /// All notices that the last link missed have been read.
     caught_up: bool,
+    /// Calls may name their dependency.
+    names: bool,
     asked: Option<Instant>,
     ask_at: Instant,
 }
@@ -69,7 +74,8 @@
 /// Holds the link until everything is to stop where it stands; goes on with one that another process has held.
 pub async fn hold(mut peers: Watched, exchange: Shared, resumed: Rc<RefCell<Option<Resumed>>>) {
     let mut freezing = exchange.borrow().freezing();
-    let mut engine = Engine { exchange, last: 0, unsure: VecDeque::new(), tag: 0, born: None };
+    let offer = exchange.borrow().names_dependencies();
+    let mut engine = Engine { exchange, last: 0, unsure: VecDeque::new(), tag: 0, offer, born: None };
     let mut link = resumed.take().and_then(|resumed| engine.resume(resumed));
     let mut next = None;
     loop {
@@ -103,6 +109,8 @@
                     End::Frozen => return engine.deposit(Some(link)),
                     End::Broken(reason) => {
                         warn!("the engine's link broke after notice {}: {reason}", engine.last);
+                        engine.offer =
+                            engine.exchange.borrow().names_dependencies() && (link.hello || !engine.offer);
                     }
                     End::Moved => info!("the engine's link moves after notice {}", engine.last),
                 }
@@ -158,8 +166,10 @@
         // The first HELLO waits for the engine to be up; any later one is a question's answer like another.
         let asked = self.born.map(|_| now);
         let (hello, caught_up, ask_at) = (false, false, now);
-        let mut link = Link { socket, stream, address, coming, going, hello, caught_up, asked, ask_at };
-        engine::attach(&mut link.going, self.last);
+        let names = false;
+        let mut link =
+            Link { socket, stream, address, coming, going, hello, caught_up, names, asked, ask_at };
+        engine::attach(&mut link.going, self.last, self.offer);
         Ok(link)
     }
 
@@ -183,6 +193,7 @@
             going: Ring::resumed(going, given),
             hello: record.hello,
             caught_up: record.caught_up,
+            names: record.names,
             asked: record.asked.then_some(now),
             ask_at: now,
         })
@@ -204,6 +215,7 @@
             asked: link.is_some_and(|link| link.asked.is_some()),
             hello: link.is_some_and(|link| link.hello),
             caught_up: link.is_some_and(|link| link.caught_up),
+            names: link.is_some_and(|link| link.names),
             born: self.born.map(|born| monotonic() - now.saturating_duration_since(born).as_secs_f64()),
             flow: link.map(flow).unwrap_or_default(),
         }
@@ -299,6 +311,10 @@
         let mut coming = std::mem::take(&mut link.coming);
         let result = coming.read(|bytes| match engine::notice(bytes) {
             Ok(None) => Ok(0),
+            // What was not agreed is not read as something else.
+            Ok(Some((Notice::Need { named: Some(_), .. }, _))) if !link.names => {
+                Err(unreadable(Fault("a name that was not agreed"), bytes))
+            }
             Ok(Some((notice, count))) => {
                 self.notice(link, &notice);
                 Ok(count)
@@ -320,7 +336,8 @@
         }
         let mut exchange = self.exchange.borrow_mut();
         match *notice {
-            Notice::Hello { warm, up_ms } => {
+            Notice::Hello { warm, up_ms, names } => {
+                link.names = names && self.offer;
                 info!("the engine is up, {} for {up_ms} ms", if warm { "warm" } else { "cold" });
                 (link.hello, link.asked) = (true, None);
                 let up = Duration::from_secs_f64((up_ms / 1e3).clamp(0.0, 1e6));
@@ -338,7 +355,10 @@
                 exchange.engine_up(warm, up.as_secs_f64(), anew);
             }
             Notice::Done { id, end, took_ms, result, .. } => exchange.ended(id, end, took_ms / 1e3, result),
-            Notice::Need { number, id, body } => exchange.wants_call(id, number, body),
+            Notice::Need { number, id, named, body } => {
+                let named = named.and_then(|name| std::str::from_utf8(name).ok());
+                exchange.wants_call(id, number, named, body);
+            }
             Notice::No { what } => match engine::refused(what) {
                 Some((word, id)) => exchange.command_refused(word, id),
                 None => warn!("the engine refused {}", what.escape_ascii()),
--- a/crates/merlinshelf-backend/src/counters.rs
+++ b/crates/merlinshelf-backend/src/counters.rs
@@ -52,11 +52,11 @@
 counters! {
     // from edge nodes and to them
     connections, refused_connections, invocations, checks, bad, aborted, too_many,
-    succeeded, throttled, errored, unheard,
+    succeeded, partial, throttled, errored, unheard,
     // to the engine and from it
     engine_links, runs, feeds, skips, stats, done, needs, refused_commands, repeated,
     // calls below
-    calls, calls_succeeded, calls_never_ran, calls_failed, calls_timed_out, cancels, late_replies,
+    calls, calls_succeeded, calls_lesser, calls_never_ran, calls_failed, calls_timed_out, cancels, late_replies,
     // upgrades
     taken_back,
     // membership
--- a/crates/merlinshelf-backend/src/exchange/arrivals.rs
+++ b/crates/merlinshelf-backend/src/exchange/arrivals.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Succeeded(Rc<[u8]>),
+    /// Succeeded without these parts, as the caller is told.
+    Partial(Rc<[u8]>, Rc<str>),
     Throttled {
         away: f64,
         last: bool,
@@ -164,6 +166,12 @@
             body,
             reply: Some(reply),
             need: None,
+            named: None,
+            wanted: 0,
+            missing: Vec::new(),
+            due: told
+                .budget
+                .map(|budget| self.origin.elapsed() + Duration::from_secs_f64(budget.clamp(0.0, 1e6))),
             calls: 0,
             calling: false,
             begun: false,
--- a/crates/merlinshelf-backend/src/exchange/carry.rs
+++ b/crates/merlinshelf-backend/src/exchange/carry.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::TcpStream;
 use std::os::fd::{AsFd, OwnedFd};
+use std::rc::Rc;
 use std::time::Duration;
 
 use log::error;
@@ -156,6 +157,9 @@
             body: bytes(&one.body),
             reply,
             need: one.need.as_ref().map(|(number, body)| (*number, bytes(body))),
+            named: one.named.as_deref().map(str::to_owned),
+            wanted: one.wanted,
+            missing: one.missing.iter().map(|part| part.to_string()).collect(),
             calls: one.calls,
             calling_until: one.calling_until.filter(|_| one.calling).map(until),
             begun: one.begun,
@@ -334,6 +338,10 @@
             body: one.body.as_slice().into(),
             reply,
             need,
+            named: one.named.map(Rc::from),
+            wanted: one.wanted,
+            missing: one.missing.into_iter().map(Rc::from).collect(),
+            due: None,
             calls: one.calls,
             calling: until.is_some(),
             begun: one.begun,
@@ -370,7 +378,8 @@
             let body = self.hand.look(inv).and_then(|one| one.need.as_ref()).map(|(_, body)| body.clone());
             if let (false, Some(body)) = (called, body) {
                 // It was decided on and never sent: its line would be here otherwise.
-                self.orders.push(Order::Invoke { id, number: one.calls, wait: until.as_secs_f64(), body });
+                let (wait, wanted) = (until.as_secs_f64(), self.wanted(inv));
+                self.orders.push(Order::Invoke { id, number: one.calls, wait, body, wanted });
             }
         }
         if unheard {
@@ -401,6 +410,9 @@
     fn record(&self) -> records::Answer {
         match self {
             Answer::Succeeded(result) => records::Answer::Succeeded(ByteBuf::from(result.as_ref())),
+            Answer::Partial(result, missing) => {
+                records::Answer::Partial(ByteBuf::from(result.as_ref()), missing.to_string())
+            }
             Answer::Throttled { away, last } => records::Answer::Throttled { away: *away, last: *last },
             Answer::Errored => records::Answer::Errored,
             Answer::Unknown => records::Answer::Unknown,
@@ -412,6 +424,9 @@
     fn from(record: records::Answer) -> Answer {
         match record {
             records::Answer::Succeeded(result) => Answer::Succeeded(result.as_slice().into()),
+            records::Answer::Partial(result, missing) => {
+                Answer::Partial(result.as_slice().into(), missing.into())
+            }
             records::Answer::Throttled { away, last } => Answer::Throttled { away, last },
             records::Answer::Errored => Answer::Errored,
             records::Answer::Unknown => Answer::Unknown,
--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -81,6 +81,7 @@
             self.call(inv, wait);
         }
         for inv in decided.degraded {
+            self.note_left_out(inv);
             self.degrade(inv);
         }
         if let Some(good) = decided.health {
@@ -107,6 +108,10 @@
         let Some(reply) = self.hand.get(inv).and_then(|one| one.reply.take()) else { return };
         match answer {
             Answer::Succeeded(_) => self.counters.succeeded += 1,
+            Answer::Partial(..) => {
+                self.counters.succeeded += 1;
+                self.counters.partial += 1;
+            }
             Answer::Throttled { .. } => self.counters.throttled += 1,
             Answer::Errored | Answer::Unknown => self.counters.errored += 1,
         }
--- a/crates/merlinshelf-backend/src/exchange/hand.rs
+++ b/crates/merlinshelf-backend/src/exchange/hand.rs
@@ -24,6 +24,14 @@
     pub reply: Option<Reply>,
     /// The last notice that asked for a call: its number and the call's body.
     pub need: Option<(u64, Rc<[u8]>)>,
+    /// The dependency that this notice named.
+    pub named: Option<Rc<str>>,
+    /// How many calls its run has wanted.
+    pub wanted: usize,
+    /// Parts that its result is without.
+    pub missing: Vec<Rc<str>>,
+    /// When its caller waits no longer, from the exchange's start.
+    pub due: Option<Duration>,
     /// Calls made so far, and whether the last one is open.
     pub calls: usize,
     pub calling: bool,
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -28,7 +28,7 @@
 use crate::journal::Journal;
 use alarms::{Alarm, Alarms};
 pub use arrivals::{Answer, Arrival, Place};
-pub use calls::{CallNumber, Called, Order};
+pub use calls::{CallNumber, Called, Order, Wanted};
 pub use carry::{Deposit, Passed, Passing, monotonic, pass};
 pub use doors::Door;
 use doors::Doors;
@@ -87,6 +87,8 @@
     passing: Option<mpsc::UnboundedSender<Passing>>,
     /// Commands that were on the link when another process left it.
     inherited: Vec<(Command, u64)>,
+    /// By operation, the dependencies of its calls; none where there is but the one catalogue.
+    parts: Option<Vec<Vec<Rc<str>>>>,
     /// What is believed on the word of others, for whichever module runs.
     beliefs: Beliefs,
     /// What is known, in the form of its file, for whoever carries this on.
@@ -154,6 +156,7 @@
             journal: None,
             passing: None,
             inherited: Vec::new(),
+            parts: None,
             beliefs: Beliefs::default(),
             knowledge: Vec::new(),
             counters: Counters::default(),
--- a/crates/merlinshelf-backend/src/exchange/runs.rs
+++ b/crates/merlinshelf-backend/src/exchange/runs.rs
@@ -83,7 +83,14 @@
         self.counters.done += 1;
         let Some(inv) = self.heard(id) else { return debug!("{id} is over, and not in hand") };
         match end {
-            End::Succeeded => self.answer(inv, Answer::Succeeded(result.into())),
+            End::Succeeded => {
+                let missing = self.hand.look(inv).map(|one| one.missing.join(", ")).unwrap_or_default();
+                let answer = match missing.is_empty() {
+                    true => Answer::Succeeded(result.into()),
+                    false => Answer::Partial(result.into(), missing.into()),
+                };
+                self.answer(inv, answer);
+            }
             End::Errored => self.answer(inv, Answer::Errored),
             End::Stopped | End::Moot => {}
         }
@@ -95,14 +102,15 @@
         self.decide(|shedder, now| shedder.ended(now, inv, outcome, took));
     }
 
-    /// A run waits for a call with this body.
-    pub fn wants_call(&mut self, id: CallId, number: u64, body: &[u8]) {
+    /// A run waits for a call with this body, of the dependency that it names where that was agreed.
+    pub fn wants_call(&mut self, id: CallId, number: u64, named: Option<&str>, body: &[u8]) {
         self.counters.needs += 1;
         let Some(inv) = self.heard(id) else { return debug!("{id} wants a call, and is not in hand") };
         self.drop_call(inv);
         if let Some(one) = self.hand.get(inv) {
             self.calls_again[one.operation] |= one.need.is_some();
             one.need = Some((number, body.into()));
+            (one.named, one.wanted) = (named.map(Rc::from), one.wanted + 1);
         }
         self.decide(|shedder, now| shedder.wants_call(now, inv));
     }
--- a/crates/merlinshelf-backend/src/exchange/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -57,6 +57,9 @@
         while let Some((tag, answer)) = self.door.next_answer() {
             let _ = match answer {
                 Answer::Succeeded(result) => writeln!(self.trace, "    {tag} <- {}", result.escape_ascii()),
+                Answer::Partial(result, missing) => {
+                    writeln!(self.trace, "    {tag} <- {} without {missing}", result.escape_ascii())
+                }
                 Answer::Throttled { away, last } => {
                     writeln!(self.trace, "    {tag} <- throttled, away {:.3}, last {last}", away.abs())
                 }
@@ -76,7 +79,7 @@
         }
         while let Some(order) = exchange.next_order() {
             let _ = match order {
-                Order::Invoke { id, number, wait, body } => {
+                Order::Invoke { id, number, wait, body, .. } => {
                     writeln!(self.trace, "    call {id}:{number} {wait:.2} s {}", body.escape_ascii())
                 }
                 Order::GiveUp { id, number } => writeln!(self.trace, "    give up {id}:{number}"),
@@ -104,7 +107,7 @@
 async fn an_invocation_goes_through_with_its_call() {
     let mut play = Play::start();
     play.arrives(1, 0);
-    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, b"call"));
+    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, None, b"call"));
     play.tell("ok", |exchange| exchange.call_ended(id(1), 1, Called::Succeeded(Rc::from(*b"reply"))));
     play.tell("DONE OK", |exchange| exchange.ended(id(1), End::Succeeded, 0.1, b"\0result"));
     play.tell("DONE again", |exchange| exchange.ended(id(1), End::Succeeded, 0.1, b"other"));
@@ -120,11 +123,11 @@
 async fn a_call_that_timed_out_is_given_up_and_its_late_reply_dropped() {
     let mut play = Play::start();
     play.arrives(1, 2);
-    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, b"call"));
+    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, None, b"call"));
     play.wait(800).await;
     let late = Called::Succeeded(Rc::from(*b"late"));
     play.tell("late reply", |exchange| exchange.call_ended(id(1), 1, late));
-    play.tell("NEED 2", |exchange| exchange.wants_call(id(1), 2, b"next call"));
+    play.tell("NEED 2", |exchange| exchange.wants_call(id(1), 2, None, b"next call"));
     let late = Called::Succeeded(Rc::from(*b"late"));
     play.tell("late reply", |exchange| exchange.call_ended(id(1), 1, late));
     assert_eq!(play.shared.borrow().counters.late_replies, 2);
@@ -137,13 +140,13 @@
     play.arrives(1, 1);
     let run = Command::Run { id: id(1), operation: "transcript-search".into(), body: Rc::from(*b"body") };
     play.tell("RUN lost", |exchange| exchange.command_lost(run.clone(), 0));
-    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, b"call"));
+    play.tell("NEED 1", |exchange| exchange.wants_call(id(1), 1, None, b"call"));
     play.tell("RUN lost before", |exchange| exchange.command_lost(run, 0));
     play.tell("ok", |exchange| exchange.call_ended(id(1), 1, Called::Succeeded(Rc::from(*b"reply"))));
     let feed = Command::Feed { id: id(1), reply: Rc::from(*b"reply") };
     play.tell("FEED lost", |exchange| exchange.command_lost(feed.clone(), 1));
     // A run that makes a second call could take a second reply for its own: from then on it is asked for anew.
-    play.tell("NEED 2", |exchange| exchange.wants_call(id(1), 2, b"next call"));
+    play.tell("NEED 2", |exchange| exchange.wants_call(id(1), 2, None, b"next call"));
     play.tell("FEED lost before", |exchange| exchange.command_lost(feed.clone(), 1));
     play.tell("ok", |exchange| exchange.call_ended(id(1), 2, Called::Succeeded(Rc::from(*b"reply"))));
     play.tell("FEED lost", |exchange| exchange.command_lost(feed, 2));
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -2,6 +2,7 @@
 //! successor and watches it, and ends. What happens in an upgrade is decided by `merlinshelf-handover`; this carries
 //! it out.
 
+use std::cell::RefCell;
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
@@ -31,6 +32,7 @@
 use crate::learning::Learning;
 use crate::logger;
 use crate::operator::Operator;
+use crate::routing::{self, Routing};
 use crate::server;
 use crate::upgrade::channel::Channel;
 use crate::upgrade::guard::Guard;
@@ -113,6 +115,8 @@
     instance: Option<Instance>,
     /// Off where the operators' file does not switch it on.
     learning: Option<Learning>,
+    /// None where the operators name no dependencies.
+    routing: Option<routing::Shared>,
     leaving: Option<Leaving>,
     // towards a successor
     keeper: Keeper,
@@ -171,6 +175,10 @@
             start,
             peers: config.peers,
             learning: operator.learning.clone().map(|of| Learning::new(&config.name, &config.settings, of)),
+            routing: operator
+                .dependencies
+                .clone()
+                .map(|of| Rc::new(RefCell::new(Routing::new(of, &config.name, config.seed)))),
             config,
             operator,
             began: Instant::now(),
@@ -206,7 +214,8 @@
             }
             let listener = server::listen(self.config.listen)?;
             info!("{} listens on {}", self.config.name, self.config.listen);
-            self.instance = Some(Prepared::fresh(exchange, listener).go(&self.config, self.peers));
+            self.instance =
+                Some(Prepared::fresh(exchange, listener).go(&self.config, self.peers, self.routing.clone()));
             self.learn();
             self.open_control()?;
         }
@@ -454,7 +463,7 @@
                         "{} goes on with what its predecessor had: {edges} connections, {lines} calls, {hand} in hand",
                         self.config.name
                     );
-                    self.instance = Some(prepared.go(&self.config, self.peers));
+                    self.instance = Some(prepared.go(&self.config, self.peers, self.routing.clone()));
                     self.learn();
                 }
                 self.try_control();
@@ -513,7 +522,7 @@
         let prepared = self.prepare(&image, passed, learnt)?;
         let (edges, lines, hand) = prepared.sums();
         let broken = prepared.broken;
-        let instance = prepared.go(&self.config, self.peers);
+        let instance = prepared.go(&self.config, self.peers, self.routing.clone());
         instance.exchange.borrow_mut().counters.taken_back += 1;
         self.instance = Some(instance);
         if let Some(learning) = &mut self.learning {
@@ -589,6 +598,27 @@
         if let Some(instance) = &self.instance {
             instance.move_to(later.peers);
         }
+        self.reload_dependencies();
+    }
+
+    /// Other dependencies, servers and lists from here on. A file that can't be used as a whole changes nothing.
+    fn reload_dependencies(&mut self) {
+        let Some(routing) = &self.routing else { return };
+        match Operator::load(self.start.operator.as_deref()) {
+            Ok(Operator { dependencies: Some(wanted), .. }) => {
+                let count = wanted.dependencies.len();
+                routing.borrow_mut().replace(wanted);
+                if let Some(instance) = &self.instance {
+                    let parts = |operation: &str| routing.borrow().parts(operation);
+                    instance.exchange.borrow_mut().set_parts(parts);
+                }
+                info!("dependencies read anew: {count} of them");
+            }
+            Ok(_) => warn!(
+                "dependencies are gone from the operators' file, and stay as they were until the next start"
+            ),
+            Err(why) => error!("the dependencies stay as they were: {why}"),
+        }
     }
 
     /// Learns beside the service, where that is switched on.
@@ -706,6 +736,7 @@
             "memory_kb": memory_kb,
             "descriptors": descriptors,
             "learning": self.learning.as_ref().map(Learning::status),
+            "dependencies": self.routing.as_ref().map(|routing| routing.borrow().report()),
             "counters": exchange.as_ref().map(|exchange| exchange.counters.by_name()),
         })
     }
--- a/crates/merlinshelf-backend/src/instance.rs
+++ b/crates/merlinshelf-backend/src/instance.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{Door, Exchange, Passed, Passing, Shared};
 use crate::journal::Journal;
 use crate::ring::discard;
+use crate::routing;
 use crate::server::{self, Listening, Server};
 use crate::upgrade::kernel;
 
@@ -162,8 +163,11 @@
     }
 
     /// Sets it going.
-    pub fn go(self, config: &Config, peers: Peers) -> Instance {
+    pub fn go(self, config: &Config, peers: Peers, routing: Option<routing::Shared>) -> Instance {
         let Prepared { exchange, listener, edges, lines, mut link, link_discards, .. } = self;
+        if let Some(routing) = &routing {
+            exchange.borrow_mut().set_parts(|operation| routing.borrow().parts(operation));
+        }
         let calls_most = client::calls_most(config.sockets);
         let doors_most = server::doors_most(config.sockets, calls_most);
         let server = Server::new(exchange.clone(), doors_most);
@@ -194,7 +198,13 @@
         });
         let (shared, peers) = (exchange.clone(), watched.clone());
         let calling = keep("calling below", move || {
-            client::catalogue::serve(peers.clone(), shared.clone(), calls_most, lines.clone())
+            client::catalogue::serve(
+                peers.clone(),
+                shared.clone(),
+                calls_most,
+                lines.clone(),
+                routing.clone(),
+            )
         });
         let (shared, name) = (exchange.clone(), config.name.clone());
         let reporting =
--- a/crates/merlinshelf-backend/src/lib.rs
+++ b/crates/merlinshelf-backend/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logger;
 pub mod operator;
 mod ring;
+mod routing;
 mod server;
 mod upgrade;
 
--- a/crates/merlinshelf-backend/src/operator.rs
+++ b/crates/merlinshelf-backend/src/operator.rs
@@ -6,6 +6,7 @@
 
 use garde::Validate;
 use log::LevelFilter;
+use merlinshelf_dependencies::Dependencies;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +27,10 @@
     /// Learning from other instances and from one's own past; absent: off.
     #[garde(dive)]
     pub learning: Option<Learning>,
+    /// Several dependencies with several servers each, and which operation calls which; absent: all calls go to the platform's one
+    /// catalogue. Read anew with SIGHUP.
+    #[garde(inner(custom(holds_together)))]
+    pub dependencies: Option<Dependencies>,
 }
 
 /// The control socket.
@@ -207,6 +212,10 @@
     }
 }
 
+fn holds_together(wanted: &Dependencies, (): &()) -> garde::Result {
+    wanted.check().map_err(|whys| garde::Error::new(whys.join("; ")))
+}
+
 fn loopback(text: &str, (): &()) -> garde::Result {
     match text.parse::<SocketAddr>() {
         Ok(address) if address.ip().is_loopback() && address.port() > 0 => Ok(()),
@@ -343,6 +352,8 @@
             "{learning: {peers: {listen: '10.0.0.1:7400'}}}",
             "{learning: {\n peers: {listen: '127.0.0.1:7400',\n seeds: ['localhost']}}}",
             "{learning: {peers: {listen: '127.0.0.1:0'}}}",
+            "{dependencies: {dependencies: {a: {servers: [], instead: 'b'}}, operations: {page: {calls: [{to: 'x'}]}}}}",
+            "{dependencies: {dependencys: {}}}",
         ];
         let read = texts.map(|text| Operator::read(text).err().unwrap_or_default());
         insta::assert_snapshot!(read.join("\n"));
--- /dev/null
+++ b/crates/merlinshelf-backend/src/routing.rs
@@ -0,0 +1,185 @@
+//! Carries out what `merlinshelf-dependencies` decides of calls below: keeps its clock and chance, and which call has which ticket.
+//! It outlives the part that makes calls, so that what is known of servers does.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use merlinshelf_dependencies::{Ask, Dependencies, Effect, End, Ended, Report, Router, Step};
+use merlinshelf_protocol::CallId;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::exchange::{self, CallNumber, Called, Wanted};
+
+/// One call: its invocation, and which of its calls it is.
+pub type CallKey = (CallId, CallNumber);
+
+pub struct Routing {
+    router: Router,
+    began: Instant,
+    chance: Pcg64Mcg,
+    calls: HashMap<u64, CallKey>,
+    tickets: HashMap<CallKey, u64>,
+    /// Attempts to be made and given up.
+    todo: VecDeque<Step>,
+    wake: Rc<Notify>,
+}
+
+pub type Shared = Rc<RefCell<Routing>>;
+
+impl Routing {
+    pub fn new(wanted: Dependencies, name: &str, seed: u64) -> Routing {
+        Routing {
+            router: Router::new(0.0, wanted, name),
+            began: Instant::now(),
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            calls: HashMap::new(),
+            tickets: HashMap::new(),
+            todo: VecDeque::new(),
+            wake: Rc::default(),
+        }
+    }
+
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    /// Other lists and settings from here on.
+    pub fn replace(&mut self, wanted: Dependencies) {
+        self.router.replace(self.now(), wanted);
+    }
+
+    /// By place, what each call of an operation is called: told to callers where it is missing.
+    pub fn parts(&self, operation: &str) -> Vec<Rc<str>> {
+        self.router.parts(operation).into_iter().map(Rc::from).collect()
+    }
+
+    pub fn report(&self) -> Vec<Report> {
+        self.router.report()
+    }
+
+    /// Told when there is something to do.
+    pub fn wake(&self) -> Rc<Notify> {
+        self.wake.clone()
+    }
+
+    pub fn wake_at(&self) -> Option<Instant> {
+        let at = self.router.wake_at()?;
+        // A moment late rather than early: woken early it would ask for the same moment again.
+        Some(self.began + Duration::from_secs_f64(at.max(0.0)) + Duration::from_micros(1))
+    }
+
+    /// The next attempt to be made or given up.
+    pub fn next(&mut self) -> Option<Step> {
+        self.todo.pop_front()
+    }
+
+    /// There was no room for it yet.
+    pub fn put_back(&mut self, step: Step) {
+        self.todo.push_front(step);
+    }
+
+    /// Whether that call is the router's to make.
+    pub fn knows(&self, wanted: &Wanted) -> bool {
+        self.router.knows(&wanted.operation, wanted.place, wanted.named.as_deref())
+    }
+
+    /// A call is wanted.
+    pub fn ask(
+        &mut self,
+        exchange: &exchange::Shared,
+        key: CallKey,
+        wait: f64,
+        question: &[u8],
+        wanted: &Wanted,
+    ) {
+        let ask = Ask {
+            operation: &wanted.operation,
+            place: wanted.place,
+            named: wanted.named.as_deref(),
+            wait,
+            left: wanted.left,
+            effect: if wanted.idempotent { Effect::Idempotent } else { Effect::NonIdempotent },
+            question,
+        };
+        let (now, chance) = (self.now(), &mut self.chance);
+        let ticket = self.router.ask(now, &ask, &mut || chance.random());
+        self.calls.insert(ticket, key);
+        self.tickets.insert(key, ticket);
+        self.follow(exchange, None);
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, exchange: &exchange::Shared, attempt: u64, called: &Called) {
+        let (ended, reply): (Ended, &[u8]) = match called {
+            Called::Succeeded(reply) => (Ended::Succeeded, reply),
+            Called::NeverRan => (Ended::Refused, b""),
+            Called::Failed | Called::Lesser { .. } => (Ended::Unknown, b""),
+        };
+        let (now, chance) = (self.now(), &mut self.chance);
+        self.router.ended(now, attempt, ended, reply, &mut || chance.random());
+        self.follow(exchange, Some(called));
+    }
+
+    /// Nobody waits for that call any more. False: it is none of these.
+    pub fn give_up(&mut self, exchange: &exchange::Shared, key: CallKey) -> bool {
+        let Some(ticket) = self.tickets.remove(&key) else { return false };
+        self.calls.remove(&ticket);
+        let (now, chance) = (self.now(), &mut self.chance);
+        self.router.give_up(now, ticket, &mut || chance.random());
+        // An attempt of it that has not been made yet need not be.
+        self.todo.retain(|step| !matches!(step, Step::Attempt { ticket: of, .. } if *of == ticket));
+        self.follow(exchange, None);
+        true
+    }
+
+    pub fn woken(&mut self, exchange: &exchange::Shared) {
+        let (now, chance) = (self.now(), &mut self.chance);
+        self.router.woken(now, &mut || chance.random());
+        self.follow(exchange, None);
+    }
+
+    /// Everything stops where it stands.
+    pub fn forget_open(&mut self) {
+        self.router.forget_open();
+        (self.calls, self.tickets, self.todo) = Default::default();
+    }
+
+    pub fn is_open(&self, key: CallKey) -> bool {
+        self.tickets.contains_key(&key)
+    }
+
+    /// The call whose attempt it is.
+    pub fn call_of(&self, ticket: u64) -> Option<CallKey> {
+        self.calls.get(&ticket).copied()
+    }
+
+    /// Ends are told at once, so that what a reply changes and that its line is gone can be noted together.
+    fn follow(&mut self, exchange: &exchange::Shared, called: Option<&Called>) {
+        while let Some(step) = self.router.next_step() {
+            let Step::Over { ticket, end } = step else {
+                self.todo.push_back(step);
+                self.wake.notify_one();
+                continue;
+            };
+            let Some((id, number)) = self.calls.remove(&ticket) else { continue };
+            self.tickets.remove(&(id, number));
+            let end = match (end, called) {
+                (End::Reply { missing: None }, Some(called)) => called.clone(),
+                (End::Reply { missing: Some(missing) }, Some(Called::Succeeded(reply))) => {
+                    Called::Lesser { reply: Some(reply.clone()), missing: missing.into() }
+                }
+                (End::Lesser { bytes, missing }, _) => {
+                    Called::Lesser { reply: bytes.map(Rc::from), missing: missing.into() }
+                }
+                (End::NeverRan, _) => Called::NeverRan,
+                (End::Failed | End::Reply { .. }, _) => Called::Failed,
+            };
+            exchange.borrow_mut().call_ended(id, number, end);
+        }
+    }
+}
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -539,6 +539,10 @@
                     self.faults = 0;
                     self.write(id, keep, &head(200, ""), &result);
                 }
+                Answer::Partial(result, missing) => {
+                    self.faults = 0;
+                    self.write(id, keep, &head(200, &format!("X-Partial: {missing}\r\n")), &result);
+                }
                 Answer::Throttled { away, last } => {
                     let mut advice = String::new();
                     if away > 0.0 {
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -48,6 +48,8 @@
     pub asked: bool,
     pub hello: bool,
     pub caught_up: bool,
+    /// Calls may name their dependency.
+    pub names: bool,
     /// When the engine was started, monotonic seconds.
     pub born: Option<f64>,
     pub flow: Flow,
@@ -85,7 +87,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     Succeeded(ByteBuf),
-    Throttled { away: f64, last: bool },
+    /// Succeeded without these parts.
+    Partial(ByteBuf, String),
+    Throttled {
+        away: f64,
+        last: bool,
+    },
     Errored,
     Unknown,
 }
@@ -128,6 +135,10 @@
     pub reply: Option<(u64, u16)>,
     /// The last notice that asked for a call: its number and the call's body.
     pub need: Option<(u64, ByteBuf)>,
+    /// The dependency that the last notice named, how many calls its run has wanted, and the parts its result is without.
+    pub named: Option<String>,
+    pub wanted: usize,
+    pub missing: Vec<String>,
     pub calls: usize,
     /// When its open call is given up, monotonic seconds.
     pub calling_until: Option<f64>,
--- a/crates/merlinshelf-protocol/src/engine.rs
+++ b/crates/merlinshelf-protocol/src/engine.rs
@@ -1,7 +1,7 @@
 //! The engine's link: commands to it, notices from it.
 
 use winnow::ascii::{dec_uint, float};
-use winnow::combinator::{alt, preceded, repeat, terminated};
+use winnow::combinator::{alt, opt, preceded, repeat, terminated};
 use winnow::stream::AsChar;
 use winnow::token::{rest, take_while};
 use winnow::{ModalResult, Parser};
@@ -10,6 +10,11 @@
     BODY_MOST, Buffer, Bytes, CallId, Fault, Front, LINE_MOST, body, call_id, front, line, put, within,
 };
 
+/// The word by which it is offered in `ATTACH` and agreed in `HELLO` that a `NEED` may name its dependency, with the form's number.
+pub const NAMES: &[u8] = b"NAMES/1";
+/// A dependency's name has at most so many bytes, and begins with a letter.
+pub const NAME_MOST: usize = 64;
+
 /// How a run has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -23,12 +28,37 @@
 /// What the engine says. Only `Done` and `Need` have numbers that count.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice<'a> {
-    Hello { warm: bool, up_ms: f64 },
-    Done { number: u64, id: CallId, end: End, took_ms: f64, result: &'a [u8] },
-    Need { number: u64, id: CallId, body: &'a [u8] },
-    Stats { tag: u64, gauges: Vec<f64> },
-    No { what: &'a [u8] },
-    Note { number: u64, text: &'a [u8] },
+    /// `names`: calls may name their dependency (`NAMES`), as was offered.
+    Hello {
+        warm: bool,
+        up_ms: f64,
+        names: bool,
+    },
+    Done {
+        number: u64,
+        id: CallId,
+        end: End,
+        took_ms: f64,
+        result: &'a [u8],
+    },
+    /// `named`: the dependency that is to be called, only where that was agreed.
+    Need {
+        number: u64,
+        id: CallId,
+        named: Option<&'a [u8]>,
+        body: &'a [u8],
+    },
+    Stats {
+        tag: u64,
+        gauges: Vec<f64>,
+    },
+    No {
+        what: &'a [u8],
+    },
+    Note {
+        number: u64,
+        text: &'a [u8],
+    },
 }
 
 impl Notice<'_> {
@@ -77,8 +107,9 @@
 
 fn hello<'i>(input: &mut &'i [u8]) -> ModalResult<(Notice<'i>, Option<usize>)> {
     let state = alt(("WARM".value(true), "COLD".value(false)));
-    let (warm, up_ms) = preceded("HELLO ", (word(state), millis)).parse_next(input)?;
-    Ok((Notice::Hello { warm, up_ms }, None))
+    let names = opt(preceded(" ", NAMES)).map(|names| names.is_some());
+    let (warm, up_ms, names) = preceded("HELLO ", (word(state), millis, names)).parse_next(input)?;
+    Ok((Notice::Hello { warm, up_ms, names }, None))
 }
 
 fn done<'i>(input: &mut &'i [u8]) -> ModalResult<(Notice<'i>, Option<usize>)> {
@@ -94,9 +125,12 @@
 }
 
 fn need<'i>(input: &mut &'i [u8]) -> ModalResult<(Notice<'i>, Option<usize>)> {
-    let fields = (word(dec_uint), word(call_id), dec_uint);
-    let (number, id, length) = preceded("NEED ", fields).parse_next(input)?;
-    Ok((Notice::Need { number, id, body: b"" }, Some(length)))
+    // A name begins with no digit, so that none passes for a length.
+    let name =
+        (take_while(1, AsChar::is_alpha), take_while(0..NAME_MOST, |byte: u8| byte.is_ascii_graphic()));
+    let fields = (word(dec_uint), word(call_id), opt(word(name.take())), dec_uint);
+    let (number, id, named, length) = preceded("NEED ", fields).parse_next(input)?;
+    Ok((Notice::Need { number, id, named, body: b"" }, Some(length)))
 }
 
 fn stats<'i>(input: &mut &'i [u8]) -> ModalResult<(Notice<'i>, Option<usize>)> {
@@ -120,8 +154,12 @@
     (word(command), call_id).parse(what).ok()
 }
 
-pub fn attach(out: &mut impl Buffer, last: u64) {
-    put(out, format_args!("ATTACH {last}\r\n"), None);
+/// `names` offers that calls may name their dependency; an engine of the plain protocol closes a link that begins so.
+pub fn attach(out: &mut impl Buffer, last: u64, names: bool) {
+    match names {
+        true => put(out, format_args!("ATTACH {last} {}\r\n", NAMES.escape_ascii()), None),
+        false => put(out, format_args!("ATTACH {last}\r\n"), None),
+    }
 }
 
 pub fn run(out: &mut impl Buffer, id: CallId, operation: &str, body: &[u8]) {
--- a/crates/merlinshelf-protocol/tests/wire.rs
+++ b/crates/merlinshelf-protocol/tests/wire.rs
@@ -184,7 +184,7 @@
 #[test]
 fn commands_and_calls_are_written() {
     let (mut out, id) = (Vec::new(), CallId::read(b"9b1f03aa5c7e2d41").expect("an id"));
-    engine::attach(&mut out, 7);
+    engine::attach(&mut out, 7, false);
     engine::run(&mut out, id, "thumbnail", b"\0\r\n");
     engine::feed(&mut out, id, b"");
     engine::skip(&mut out, id, 12);
