--- a/crates/merlinshelf-lab/src/instance.rs
+++ b/crates/merlinshelf-lab/src/instance.rs
@@ -44,6 +44,10 @@
     pub name: String,
     /// What the operators' file says of learning; none: off. The folder is one of the instance's own where it says `true`.
     pub learning: Option<Value>,
+    /// What the operators' file says of dependencies; none: there is but the catalogue.
+    pub dependencies: Option<Value>,
+    /// Where calls go that go to no dependency; none: to a catalogue of its own.
+    pub catalogue: Option<String>,
 }
 
 impl Setup {
@@ -62,9 +66,11 @@
             descriptors: 4096,
             both_mb: 1024,
             effect: "read_like".into(),
-            manner: Manner { work, cores: 8.0, calling, below, says: false },
+            manner: Manner { work, cores: 8.0, calling, parts: Vec::new(), below, says: false },
             name: "n0".into(),
             learning: None,
+            dependencies: None,
+            catalogue: None,
         }
     }
 }
@@ -126,6 +132,9 @@
         config["listen"] = json!(address);
         config["engine"] = json!(engine.local_addr()?.to_string());
         config["backend"] = json!(catalogue.local_addr()?.to_string());
+        if let Some(catalogue) = &setup.catalogue {
+            config["backend"] = json!(catalogue);
+        }
         config["name"] = json!(setup.name);
         config["members"] = json!(members.local_addr()?.to_string());
         config["limits"] = json!({ "cores": 1.0, "memory_mb": setup.memory_mb, "sockets": setup.sockets });
@@ -156,6 +165,9 @@
             }
             operator["learning"] = learning;
         }
+        if let Some(dependencies) = &setup.dependencies {
+            operator["dependencies"] = dependencies.clone();
+        }
         std::fs::write(folder.join("config.json"), config.to_string())?;
         std::fs::write(folder.join("operator.json5"), operator.to_string())?;
         Engine::start(engine, setup.manner.clone(), records.clone());
@@ -211,6 +223,21 @@
         self.log.borrow().iter().map(|line| line.to_string() + "\n").collect()
     }
 
+    /// Names other dependencies in the operators' file, and tells the one that serves by SIGHUP.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn depends_on(&self, dependencies: &Value) -> io::Result<()> {
+        let path = self.folder.join("operator.json5");
+        let mut operator: Value = serde_json::from_str(&std::fs::read_to_string(&path)?)?;
+        operator["dependencies"] = dependencies.clone();
+        std::fs::write(path, operator.to_string())?;
+        if let Some(id) = self.processes().last() {
+            signal(*id, Signal::HUP);
+        }
+        Ok(())
+    }
+
     /// All processes that were ever started here, the last one last.
     pub fn processes(&self) -> Vec<u32> {
         let successors = self.values("successor").into_iter().filter_map(|id| u32::try_from(id).ok());
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -45,6 +45,8 @@
     body: Vec<u8>,
     /// Served without the call that its run wanted to make.
     pub poorer: bool,
+    /// The parts that a served answer says it is without.
+    pub partial: Option<String>,
     /// A served answer that is none that the run of this invocation made.
     spoilt: bool,
 }
@@ -147,6 +149,7 @@
                 answers: Vec::new(),
                 body,
                 poorer: false,
+                partial: None,
                 spoilt: false,
             };
             seen.borrow_mut().sent.insert(id, sent);
@@ -289,6 +292,9 @@
                     let made = result_of(&id, &sent.body);
                     sent.spoilt |= status == 200 && !body.is_some_and(|body| body.starts_with(&made));
                     sent.poorer |= body.is_some_and(|body| body.ends_with(b", poorer"));
+                    let text = String::from_utf8_lossy(&out[..out.len().min(1024)]).into_owned();
+                    sent.partial =
+                        text.lines().find_map(|line| line.strip_prefix("X-Partial: ")).map(str::to_owned);
                     sent.answers.push((Instant::now(), status));
                 }
             }
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -91,6 +91,23 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Two dependencies of five servers each that fail by script, against plain ways to call them; many instances in virtual time
+    #[command(after_help = "Example:\n  merlinshelf-lab trial dependencies --seed 19")]
+    Dependencies {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Invocations a second
+        #[arg(long, default_value_t = 300.0)]
+        rate: f64,
+        /// Plays at one time
+        #[arg(long, default_value_t = 3)]
+        at_once: u8,
+        /// Faults that are played, by their number; absent: all
+        #[arg(long, value_delimiter = ',')]
+        faults: Vec<usize>,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// What being taught is worth, what bad teachers cost, what it costs a fleet, and what crashes leave
     #[command(after_help = "Example:\n  merlinshelf-lab trial learning --seed 17 --seeds 20 --at-once 4")]
     Learning {
@@ -192,6 +209,11 @@
             let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
             local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
         }
+        Command::Trial { trial: Trial::Dependencies { seed, rate, at_once, faults, program } } => {
+            let program = std::fs::canonicalize(found(program)?)?;
+            let plan = trial::dependencies::Plan { seed, rate, at_once, faults, program };
+            trial::dependencies::run(&plan).map(|(_, clean)| clean)
+        }
         Command::Trial {
             trial: Trial::Fleet { seed, seeds, instances, rate, kills, kill_instances, program },
         } => {
--- /dev/null
+++ b/crates/merlinshelf-lab/src/stand_in/dependency.rs
@@ -0,0 +1,139 @@
+//! One server of a dependency: it takes the catalogue's words, a few calls at one time, and fails as it is told.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::sleep;
+
+use super::lines::Lines;
+use super::reply_to;
+
+/// What a server does with calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manners {
+    Well,
+    /// So many times as slow.
+    Slow(f64),
+    /// The same, for questions that hold this word alone.
+    SlowFor(&'static str, f64),
+    /// `internal`, at once.
+    Errors,
+    /// Each call is taken and never answered.
+    Hangs,
+    /// Nobody listens.
+    Gone,
+    /// Every other connection is closed under its call.
+    Breaks,
+}
+
+/// Calls that a server works on at one time; others wait.
+const AT_ONCE: usize = 16;
+
+pub struct Server {
+    pub address: String,
+    pub manners: Cell<Manners>,
+    takes: Duration,
+    /// Calls that reached it.
+    pub calls: Cell<u64>,
+    room: Semaphore,
+    told: Notify,
+    listener: RefCell<Option<TcpListener>>,
+}
+
+impl Server {
+    /// Serves for as long as its task lives; a call takes so long.
+    ///
+    /// # Errors
+    /// There is no address.
+    pub async fn start(takes: Duration) -> io::Result<Rc<Server>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Rc::new(Server {
+            address: listener.local_addr()?.to_string(),
+            manners: Cell::new(Manners::Well),
+            takes,
+            calls: Cell::default(),
+            room: Semaphore::new(AT_ONCE),
+            told: Notify::new(),
+            listener: RefCell::new(Some(listener)),
+        });
+        spawn_local(server.clone().serve());
+        Ok(server)
+    }
+
+    /// From here on it does so. One that is gone breaks all that is open.
+    pub fn does(&self, manners: Manners) {
+        self.manners.set(manners);
+        self.told.notify_one();
+    }
+
+    async fn serve(self: Rc<Server>) {
+        let mut open = JoinSet::new();
+        loop {
+            if self.manners.get() == Manners::Gone {
+                self.listener.replace(None);
+                open.shutdown().await;
+                self.told.notified().await;
+                continue;
+            }
+            let known = self.listener.take();
+            let listener = match known {
+                Some(listener) => listener,
+                None => match TcpListener::bind(&self.address).await {
+                    Ok(listener) => listener,
+                    Err(_) => {
+                        sleep(Duration::from_millis(20)).await;
+                        continue;
+                    }
+                },
+            };
+            tokio::select! {
+                stream = listener.accept() => if let Ok((stream, _)) = stream {
+                    let server = self.clone();
+                    open.spawn_local(async move {
+                        let _ = server.attend(stream).await; // an end is how callers give up
+                    });
+                },
+                () = self.told.notified() => {}
+            }
+            while open.try_join_next().is_some() {}
+            self.listener.replace(Some(listener));
+        }
+    }
+
+    async fn attend(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (input, mut output) = stream.into_split();
+        let mut lines = Lines::new(input);
+        while let Some(line) = lines.line().await? {
+            let ["invoke", id, _, length] = line.split(' ').collect::<Vec<_>>()[..] else {
+                return Err(io::Error::other(format!("no call: {line}")));
+            };
+            let body = lines.body(length).await?;
+            self.calls.set(self.calls.get() + 1);
+            let times = match self.manners.get() {
+                Manners::Errors => {
+                    output.write_all(format!("{id} internal\r\n").as_bytes()).await?;
+                    continue;
+                }
+                Manners::Hangs => std::future::pending().await,
+                Manners::Breaks if self.calls.get().is_multiple_of(2) => return Ok(()),
+                Manners::Slow(times) => times,
+                Manners::SlowFor(word, times) if String::from_utf8_lossy(&body).contains(word) => times,
+                _ => 1.0,
+            };
+            let room = self.room.acquire().await.map_err(io::Error::other)?;
+            sleep(self.takes.mul_f64(times)).await;
+            drop(room);
+            let reply = reply_to(id, &body);
+            let head = format!("{id} ok {}\r\n", reply.len());
+            output.write_all(&[head.as_bytes(), &reply, b"\r\n"].concat()).await?;
+        }
+        Ok(())
+    }
+}
--- a/crates/merlinshelf-lab/src/stand_in/engine.rs
+++ b/crates/merlinshelf-lab/src/stand_in/engine.rs
@@ -36,12 +36,18 @@
     runs: HashMap<String, Run>,
     /// Runs on the cores.
     busy: usize,
+    /// Calls name their dependency on this link.
+    names: bool,
 }
 
 /// A run that is not over: what it waits for, if it waits.
 struct Run {
     body: Vec<u8>,
     call: Option<(usize, Vec<u8>)>,
+    operation: String,
+    /// The dependencies that it has still to call, and what came of those before.
+    parts: VecDeque<String>,
+    came: Vec<u8>,
 }
 
 impl Engine {
@@ -84,7 +90,10 @@
             while let Some(line) = lines.line().await? {
                 let words: Vec<&str> = line.split(' ').collect();
                 match words[..] {
-                    ["ATTACH", last] => self.attach(last.parse().map_err(io::Error::other)?, &sender),
+                    ["ATTACH", last] => self.attach(last.parse().map_err(io::Error::other)?, false, &sender),
+                    ["ATTACH", last, "NAMES/1"] if !self.manner.parts.is_empty() => {
+                        self.attach(last.parse().map_err(io::Error::other)?, true, &sender);
+                    }
                     ["RUN", id, operation, length] => {
                         let body = lines.body(length).await?;
                         self.run(id, operation, body);
@@ -106,10 +115,13 @@
         }
     }
 
-    fn attach(&self, last: usize, sender: &UnboundedSender<Vec<u8>>) {
+    fn attach(&self, last: usize, names: bool, sender: &UnboundedSender<Vec<u8>>) {
         self.say(&format!("a link, after notice {last}"));
         let mut state = self.state.borrow_mut();
-        let _ = sender.send(format!("HELLO WARM {}\r\n", self.born.elapsed().as_millis()).into_bytes());
+        state.names = names;
+        let agreed = if names { " NAMES/1" } else { "" };
+        let up = self.born.elapsed().as_millis();
+        let _ = sender.send(format!("HELLO WARM {up}{agreed}\r\n").into_bytes());
         for (_, notice) in state.notices.iter().filter(|(number, _)| *number > last) {
             let _ = sender.send(notice.clone());
         }
@@ -123,10 +135,13 @@
         }
         self.say(&format!("run {operation} {id}"));
         *self.records.borrow_mut().runs.entry(id.to_owned()).or_default() += 1;
-        state.runs.insert(id.to_owned(), Run { body, call: None });
+        let parts = self.manner.parts.iter().find(|(of, _)| of == operation);
+        let parts: VecDeque<String> = parts.map(|(_, parts)| parts.clone().into()).unwrap_or_default();
+        let calls = !parts.is_empty() || self.manner.calling.iter().any(|calling| calling == operation);
+        let run = Run { body, call: None, operation: operation.to_owned(), parts, came: Vec::new() };
+        state.runs.insert(id.to_owned(), run);
         state.busy += 1;
         let (engine, id) = (self.clone(), id.to_owned());
-        let calls = self.manner.calling.iter().any(|calling| calling == operation);
         spawn_local(async move {
             sleep(engine.manner.work).await;
             if calls { engine.need(&id) } else { engine.done(&id, b"") }
@@ -135,14 +150,20 @@
 
     fn need(&self, id: &str) {
         let mut state = self.state.borrow_mut();
-        state.busy -= 1;
-        let number = state.number + 1;
-        let body = format!("of {id}").into_bytes();
-        if let Some(run) = state.runs.get_mut(id) {
-            run.call = Some((number, body.clone()));
-        }
+        let (number, names) = (state.number + 1, state.names);
+        let Some(run) = state.runs.get_mut(id) else { return };
+        let first = run.call.is_none();
+        let part = run.parts.pop_front();
+        let body = match &part {
+            Some(part) => format!("of {id} {} {part}", run.operation),
+            None => format!("of {id}"),
+        };
+        let body = body.into_bytes();
+        run.call = Some((number, body.clone()));
+        state.busy -= usize::from(first);
+        let name = part.filter(|_| names).map(|part| format!("{part} ")).unwrap_or_default();
         state.notice(|number| {
-            [format!("NEED {number} {id} {}\r\n", body.len()).as_bytes(), &body, b"\r\n"].concat()
+            [format!("NEED {number} {id} {name}{}\r\n", body.len()).as_bytes(), &body, b"\r\n"].concat()
         });
     }
 
@@ -163,7 +184,11 @@
     fn feed(&self, id: &str, reply: &[u8]) {
         let awaited = self.state.borrow().runs.get(id).and_then(|run| run.call.clone());
         match awaited {
-            Some((_, body)) if reply == reply_to(id, &body) => self.done(id, b", fed"),
+            Some((_, body)) if reply == reply_to(id, &body) => self.came(id, b", fed"),
+            // Lesser answers, of runs with parts alone.
+            Some(_) if reply.starts_with(b"less") && !self.manner.parts.is_empty() => {
+                self.came(id, b", less")
+            }
             _ => self.records.borrow_mut().wrong_feeds += 1,
         }
     }
@@ -171,7 +196,22 @@
     fn skip(&self, id: &str, number: &str) {
         let awaited = self.state.borrow().runs.get(id).and_then(|run| run.call.as_ref().map(|(of, _)| *of));
         if awaited.is_some_and(|awaited| awaited.to_string() == number) {
-            self.done(id, b", poorer");
+            self.came(id, b", poorer");
+        }
+    }
+
+    /// What a run gets for its call: it makes its next one, or is done.
+    fn came(&self, id: &str, word: &[u8]) {
+        let more = match self.state.borrow_mut().runs.get_mut(id) {
+            Some(run) => {
+                run.came.extend(word);
+                if run.parts.is_empty() { Some(std::mem::take(&mut run.came)) } else { None }
+            }
+            None => return,
+        };
+        match more {
+            Some(more) => self.done(id, &more),
+            None => self.need(id),
         }
     }
 
--- a/crates/merlinshelf-lab/src/stand_in/lines.rs
+++ b/crates/merlinshelf-lab/src/stand_in/lines.rs
@@ -11,6 +11,11 @@
         Lines(BufReader::new(stream))
     }
 
+    /// What carries the lines, to look for its end.
+    pub fn raw(&mut self) -> &mut BufReader<R> {
+        &mut self.0
+    }
+
     /// The next line without its end; none at the end of the stream.
     pub async fn line(&mut self) -> io::Result<Option<String>> {
         let mut text = String::new();
--- a/crates/merlinshelf-lab/src/stand_in/mod.rs
+++ b/crates/merlinshelf-lab/src/stand_in/mod.rs
@@ -2,7 +2,9 @@
 //! keep a record of all that was asked of them, for the checker.
 
 mod catalogue;
+mod dependency;
 mod engine;
+mod forward;
 mod lines;
 mod members;
 
@@ -12,7 +14,9 @@
 use std::time::Duration;
 
 pub use catalogue::Catalogue;
+pub use dependency::{Manners, Server};
 pub use engine::Engine;
+pub use forward::{Forward, Way};
 pub use members::Members;
 
 /// How the stand-ins behave.
@@ -24,6 +28,8 @@
     pub cores: f64,
     /// Operations whose runs make a call below.
     pub calling: Vec<String>,
+    /// Operations whose runs make several calls, one after the other, to these; they name them where that is agreed.
+    pub parts: Vec<(String, Vec<String>)>,
     /// How long the catalogue takes.
     pub below: Duration,
     /// Say on standard output what is asked.
--- a/crates/merlinshelf-lab/src/trial/mod.rs
+++ b/crates/merlinshelf-lab/src/trial/mod.rs
@@ -1,6 +1,7 @@
 //! Trials: the real program between stand-ins, played by seed, with a table and one JSON object as its last line.
 
 pub mod cost;
+pub mod dependencies;
 pub mod fleet;
 pub mod learning;
 pub mod restart;
