--- a/crates/merlinshelf-cli/src/main.rs
+++ b/crates/merlinshelf-cli/src/main.rs
@@ -63,8 +63,17 @@
         json: bool,
     },
     /// Say how an instance stands
-    #[command(after_help = "Example:\n  merlinshelf status --control /run/merlinshelf/n0.control --json")]
-    Status(Remote),
+    #[command(
+        after_help = "Examples:\n  merlinshelf status --control /run/merlinshelf/n0.control --json\n  \
+                      merlinshelf status --control /run/merlinshelf/n0.control --dependencies"
+    )]
+    Status {
+        #[command(flatten)]
+        remote: Remote,
+        /// Only the dependencies: their servers, why one is out, budgets, second calls
+        #[arg(long)]
+        dependencies: bool,
+    },
     /// Tell an instance to leave, as SIGTERM does
     #[command(after_help = "Example:\n  merlinshelf drain --control /run/merlinshelf/n0.control --wait")]
     Drain {
@@ -197,7 +206,9 @@
             ExitCode::SUCCESS
         }
         Command::Check { files, json, .. } => check::check(files.config, files.operator, json),
-        Command::Status(remote) => remote::status(&remote.control, remote.json),
+        Command::Status { remote, dependencies } => {
+            remote::status(&remote.control, remote.json, dependencies)
+        }
         Command::Drain { remote, wait } => remote::drain(&remote.control, remote.json, wait),
         Command::Upgrade(remote) => remote::upgrade(&remote.control, remote.json),
         Command::Agent { schema: true, .. } => {
--- a/crates/merlinshelf-cli/src/remote.rs
+++ b/crates/merlinshelf-cli/src/remote.rs
@@ -71,9 +71,22 @@
     ExitCode::from(FAILED)
 }
 
-pub fn status(socket: &Path, as_json: bool) -> ExitCode {
+pub fn status(socket: &Path, as_json: bool, dependencies: bool) -> ExitCode {
     let answer = Talk::ask(socket, Question::Status, WITHIN).and_then(|mut talk| talk.next());
     match answer {
+        Ok((Word::Done, report)) if dependencies => {
+            let all = &report["dependencies"];
+            if all.is_null() {
+                let why = "the operators' file of this instance names no dependencies";
+                return failed(socket, &io::Error::other(why), as_json);
+            }
+            if as_json {
+                tell!("{all}");
+            } else {
+                tell!("{}", table(all).trim_end());
+            }
+            ExitCode::SUCCESS
+        }
         Ok((Word::Done, report)) => {
             if as_json {
                 tell!("{report}");
@@ -87,6 +100,47 @@
     }
 }
 
+/// Each dependency with its budgets, and a line for each of its servers.
+fn table(all: &Value) -> String {
+    let mut page = String::new();
+    for of in all.as_array().into_iter().flatten() {
+        let number = |name: &str| of[name].as_f64().unwrap_or(0.0);
+        let word = |value: &Value| value.as_str().unwrap_or("").to_owned();
+        page += &format!(
+            "{}{}: {} open of {:.0}, {} wait, {:.1} attempts left\n  calls {}, attempts {}, succeeded {}, again {}, second calls {} (won {}, lost {}), lesser {}, \
+             not made {}, out of time {}\n",
+            word(&of["name"]),
+            if of["fails"] == true { " (fails as a whole)" } else { "" },
+            of["open"],
+            number("limit"),
+            of["waiting"],
+            number("attempts_left"),
+            of["calls"],
+            of["attempts"],
+            of["succeeded"],
+            of["again"],
+            of["hedges"],
+            of["hedges_won"],
+            of["hedges_lost"],
+            of["lesser"],
+            of["not_made"],
+            of["out_of_time"],
+        );
+        for server in of["servers"].as_array().into_iter().flatten() {
+            let mean = server["mean_ms"].as_f64().map_or("-".to_owned(), |ms| format!("{ms:.2} ms"));
+            let failures = 100.0 * server["failures"].as_f64().unwrap_or(0.0);
+            page += &format!(
+                "  {:<22} {:<8} {:>3} open {mean:>11} {failures:>5.1}% fail  {}\n",
+                word(&server["address"]),
+                word(&server["state"]),
+                server["open"],
+                word(&server["why"]),
+            );
+        }
+    }
+    page
+}
+
 /// A line a figure; counters that stand at nothing are left out.
 fn page(report: &Value) -> String {
     let mut page = String::new();
@@ -97,6 +151,7 @@
                 page.extend(counted.map(|(name, count)| format!("  {name}: {count}\n")));
             }
             Value::String(text) => page += &format!("{name}: {text}\n"),
+            value if name == "dependencies" => page += &table(value),
             value => page += &format!("{name}: {value}\n"),
         }
     }
--- a/crates/merlinshelf-cli/tests/dependencies.rs
+++ b/crates/merlinshelf-cli/tests/dependencies.rs
@@ -113,6 +113,11 @@
                 .filter_map(|sent| sent.partial.as_deref())
                 .all(|parts| { ["assets", "catalogue", "catalogue, assets"].contains(&parts) })
         );
+        let mut command = tokio::process::Command::new(PROGRAM);
+        command.args(["status", "--dependencies", "--control"]).arg(instance.control());
+        let said = command.output().await?;
+        let said = String::from_utf8_lossy(&said.stdout).into_owned();
+        assert!(said.contains("catalogue: ") && said.matches("127.0.0.1:").count() == 6, "{said}");
         let lesser = dependency(&report, "assets")["lesser"].as_u64().unwrap_or(0);
         assert!(lesser > 0, "{report}");
         let verdict = seen.check(&instance.records.borrow(), load.patience);
--- a/crates/merlinshelf-protocol/tests/wire.rs
+++ b/crates/merlinshelf-protocol/tests/wire.rs
@@ -196,6 +196,27 @@
     assert_eq!(bad, [None; 3]);
 }
 
+#[test]
+fn names_of_dependencies_are_offered_agreed_and_read() {
+    let mut out = Vec::new();
+    engine::attach(&mut out, 7, true);
+    assert_eq!(out, b"ATTACH 7 NAMES/1\r\n");
+    let long = "n".repeat(65);
+    let bytes = "HELLO WARM 5 NAMES/1\r\nHELLO COLD 5\r\nNEED 2 9b1f03aa5c7e2d41 thumbs-2 3\r\nabc\r\nNEED 3 9b1f03aa5c7e2d41 0\r\n\r\n";
+    let read = |bytes: &[u8]| {
+        engine::notice(bytes).map(|front| front.map(|(notice, count)| (format!("{notice:?}"), count)))
+    };
+    assert_snapshot!(messages(bytes.as_bytes(), read));
+    for bad in [
+        "HELLO WARM 5 NAMES/2",
+        "NEED 2 9b1f03aa5c7e2d41 2x 3",
+        &format!("NEED 2 9b1f03aa5c7e2d41 {long} 3"),
+        "NEED 2 9b1f03aa5c7e2d41 a b 3",
+    ] {
+        assert!(engine::notice(format!("{bad}\r\nabc\r\n").as_bytes()).is_err(), "{bad}");
+    }
+}
+
 #[test]
 fn answers_of_the_membership_service_are_read() {
     let bytes = b"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 Busy\r\ncontent-LENGTH: 3 \r\n\r\nnow\
