Take an old process that dies after its successor took over for what it is, not for the instance's end

Checked: the successor says `predecessor` = the one that died on its socket, and serves; no invocation was lost. At fault: host.rs, `Event::Ended` told the fleet at once, whoever answered by then. Now one that ends in the midst of its upgrade is looked for: its successor's word adopts it, and only where nobody says so within 600 ms the instance has ended.

--- a/crates/merlinshelf-agent/src/host.rs
+++ b/crates/merlinshelf-agent/src/host.rs
@@ -13,7 +13,7 @@
 use merlinshelf_backend::logger;
 use merlinshelf_backend::operator::Format;
 use merlinshelf_fleet::fit::address;
-use merlinshelf_fleet::{Fleet, Identity, Report, Step, Wanted};
+use merlinshelf_fleet::{Fleet, Identity, Instance, Report, State, Step, Wanted};
 use merlinshelf_protocol::control::{Question, Word};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -42,6 +42,9 @@
 const PROBED_EACH: u32 = 4;
 /// A question to an instance is given up after so long.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1000);
+/// A successor whose predecessor has died opens its control socket within a fraction of this.
+const SOUGHT_FOR: Duration = Duration::from_millis(600);
+const SOUGHT_EVERY: Duration = Duration::from_millis(50);
 /// The longest upgrade of one instance.
 const UPGRADE_WITHIN: Duration = Duration::from_secs(600);
 /// Logs are looked after so often.
@@ -50,6 +53,8 @@
 /// What happened, from the tasks beside the loop.
 enum Event {
     Ended(String, Identity, Option<i32>),
+    /// It ended in the midst of its upgrade, and nobody had taken over from it.
+    NobodyElse(String, Option<i32>),
     Reported(String, Box<Report>),
     Upgraded(String, Result<(), String>),
 }
@@ -218,10 +223,18 @@
                 let current = self.held.get(&name).is_some_and(|(known, _)| *known == identity);
                 if current {
                     self.held.remove(&name);
+                    let upgrading = |one: &Instance| one.state == State::Upgrading;
+                    if self.fleet.get(&name).is_some_and(upgrading) {
+                        return self.seek_successor(name, identity, status);
+                    }
                     let chance = self.rng.random();
                     self.fleet.ended(now, &name, status, chance);
                 }
             }
+            Event::NobodyElse(name, status) => {
+                let chance = self.rng.random();
+                self.fleet.ended(now, &name, status, chance);
+            }
             Event::Reported(name, report) => {
                 let known = self.fleet.get(&name).and_then(|one| one.identity.clone());
                 let own = known
@@ -244,6 +257,26 @@
         }
     }
 
+    /// A process that ends in the midst of its upgrade may have been taken over from before: its successor says so on the socket,
+    /// at once or as soon as it serves. Only where nobody does has the instance ended.
+    fn seek_successor(&self, name: String, ended: Identity, status: Option<i32>) {
+        let (sender, control) = (self.events.0.clone(), self.paths(&name).control);
+        spawn_local(async move {
+            let until = Instant::now() + SOUGHT_FOR;
+            while Instant::now() < until {
+                let answer = Talk::once(&control, Question::Status, ANSWER_WITHIN).await;
+                let said = answer.ok().filter(|(word, _)| *word == Word::Done);
+                let report = said.and_then(|(_, said)| report(&said));
+                if let Some(report) = report.filter(|report| report.predecessor == Some(ended.pid)) {
+                    let _ = sender.send(Event::Reported(name, Box::new(report)));
+                    return;
+                }
+                sleep(SOUGHT_EVERY).await;
+            }
+            let _ = sender.send(Event::NobodyElse(name, status));
+        });
+    }
+
     /// Asks every instance how it stands, each once at a time.
     fn ask_all(&mut self) {
         self.asked_times = self.asked_times.wrapping_add(1);
--- a/crates/merlinshelf-cli/tests/fleet.rs
+++ b/crates/merlinshelf-cli/tests/fleet.rs
@@ -65,6 +65,41 @@
     });
 }
 
+#[test]
+fn an_old_process_that_is_killed_after_its_successor_took_over_stops_no_plan() {
+    play(async {
+        let rig = Rig::start(PROGRAM.as_ref(), 231, 2, &change()).await?;
+        rig.when("serving", 2).await?;
+        let (all, _) = rig.status().await?;
+        let old = all[0]["process"].as_u64().and_then(|pid| u32::try_from(pid).ok()).expect("a process");
+        let program = copy_of_program(&rig)?;
+        last(&rig, json!({ "op": "upgrade", "program": program, "names": ["web.0"] })).await?;
+        // The successor says on the socket that it is watched: it serves, and the old process still waits.
+        let control = rig.folder.join("run").join("web.0").join("control");
+        loop {
+            let said =
+                Command::new(PROGRAM).args(["status", "--json", "--control"]).arg(&control).output()?;
+            if String::from_utf8_lossy(&said.stdout).contains("\"state\":\"watched\"") {
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        signal(old, Signal::KILL);
+        loop {
+            let (_, plan) = last(&rig, json!({ "op": "plan" })).await?;
+            if plan["over"] == true {
+                assert_eq!(plan["state"], "done", "{plan}\n{}", rig.history().await?);
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        rig.when("serving", 2).await?;
+        let history = rig.history().await?;
+        assert!(history.contains("web.0") && !history.contains("ended by itself"), "{history}");
+        Ok(())
+    });
+}
+
 #[test]
 fn the_agent_is_killed_and_another_one_finds_the_instances_and_goes_on() {
     play(async {
@@ -166,7 +201,7 @@
 #[test]
 fn a_file_that_is_spoilt_for_one_group_changes_nothing_and_names_it() {
     play(async {
-        let rig = Rig::start(PROGRAM.as_ref(), 216, 2, &change()).await?;
+        let rig = Rig::start(PROGRAM.as_ref(), 231, 2, &change()).await?;
         rig.when("serving", 2).await?;
         let (before, _) = rig.status().await?;
         let file = rig.folder.join("fleet.json5");
--- a/crates/merlinshelf-lab/src/trial/fleet.rs
+++ b/crates/merlinshelf-lab/src/trial/fleet.rs
@@ -74,6 +74,8 @@
     during: f64,
     took: f64,
     plain: f64,
+    /// Plans that a kill stopped.
+    stopped: u32,
 }
 
 /// One seed.
@@ -99,7 +101,16 @@
         sleep(Duration::from_millis(rng.random_range(200..1800))).await;
         kill_one(&rig, &playing, rng.random_range(0..plan.instances)).await?;
     }
-    let ended = over(&rig).await?;
+    let mut ended = over(&rig).await?;
+    let stopped = u32::from(ended["state"] != "done");
+    if stopped > 0 && plan.kill_instances > 0 {
+        // The one that was killed was under way: the plan says so and ends, as it does for a version that crashes. Whoever
+        // looks after it starts it again.
+        println!("seed {seed}: the plan is {}; started again", ended["state"]);
+        rig.when("serving", plan.instances.into()).await?;
+        rig.ask(&json!({ "op": "upgrade", "program": copy })).await?;
+        ended = over(&rig).await?;
+    }
     if ended["state"] != "done" {
         let history = rig.history().await?;
         return Err(io::Error::other(format!("seed {seed}: the upgrade is {}\n{history}", ended["state"])));
@@ -130,6 +141,7 @@
         during: share(during),
         took: (upgraded - began).as_secs_f64(),
         plain: share(plain),
+        stopped,
     })
 }
 
@@ -179,11 +191,12 @@
 /// What can't be played.
 pub async fn run(plan: &Plan) -> io::Result<(Value, bool)> {
     let mut all = Verdict::default();
-    let (mut ratios, mut plains) = (Vec::new(), Vec::new());
+    let (mut ratios, mut plains, mut plans_stopped) = (Vec::new(), Vec::new(), 0);
     for (number, seed) in (100_u8..230).cycle().zip(plan.seed..plan.seed + plan.seeds) {
         // Stand-ins of the seed before still listen: each has addresses of its own.
         let played = play(plan, seed, number).await?;
-        let Played { verdict, before, during, took, plain } = played;
+        let Played { verdict, before, during, took, plain, stopped } = played;
+        plans_stopped += stopped;
         println!(
             "seed {seed}: {} sent, {} lost, {} held by a killed one, {} doubled, {} run twice; served {during:.4} in {took:.1} s of upgrade, {before:.4} \
              before it, {plain:.4} by drain and start",
@@ -211,7 +224,7 @@
     }
     let line = json!({
         "trial": "fleet", "seed": plan.seed, "seeds": plan.seeds, "instances": plan.instances, "sent": all.sent,
-        "lost": all.lost, "held_by_killed": all.held_by_killed, "doubled": all.doubled, "run_twice": all.run_twice, "spoilt": all.spoilt,
+        "lost": all.lost, "held_by_killed": all.held_by_killed, "plans_stopped": plans_stopped, "doubled": all.doubled, "run_twice": all.run_twice, "spoilt": all.spoilt,
         "served_in_upgrade": ratio, "served_by_restart": plain, "agent": costs,
     });
     println!("{line}");
