Limit calls to each server as well as to each dependency

Need: a limit held for a dependency as a whole, so that a server that bears less than its peers was only avoided, never bounded.

--- a/crates/merlinshelf-cli/src/remote.rs
+++ b/crates/merlinshelf-cli/src/remote.rs
@@ -130,10 +130,11 @@
             let mean = server["mean_ms"].as_f64().map_or("-".to_owned(), |ms| format!("{ms:.2} ms"));
             let failures = 100.0 * server["failures"].as_f64().unwrap_or(0.0);
             page += &format!(
-                "  {:<22} {:<8} {:>3} open {mean:>11} {failures:>5.1}% fail  {}\n",
+                "  {:<22} {:<8} {:>3} open of {:<5} {mean:>11} {failures:>5.1}% fail  {}\n",
                 word(&server["address"]),
                 word(&server["state"]),
                 server["open"],
+                server["limit"].as_f64().map_or("-".to_owned(), |limit| limit.to_string()),
                 word(&server["why"]),
             );
         }
--- a/crates/merlinshelf-dependencies/src/router.rs
+++ b/crates/merlinshelf-dependencies/src/router.rs
@@ -9,7 +9,7 @@
 use crate::budget::allowance;
 use crate::limits::{Limit, Waiting};
 use crate::partial::{Came, Lesser, instead};
-use crate::servers::{Outcome, Pool, Standing};
+use crate::servers::{Outcome, Pool, Server, Standing};
 use crate::subset::subset;
 use crate::wanted::{Call, Dependencies, Dependency, Instead};
 
@@ -89,6 +89,8 @@
     pool: Pool,
     attempts: Attempts,
     limit: Limit,
+    /// By server: one that bears less than its share gets less, whatever the whole bears.
+    limits: BTreeMap<String, Limit>,
     waiting: Waiting,
     /// Attempts that are open now, of all operations.
     open: usize,
@@ -123,6 +125,8 @@
     pub state: &'static str,
     pub why: Option<&'static str>,
     pub open: u32,
+    /// Calls that it bears at one time; none before it was measured.
+    pub limit: Option<f64>,
     pub mean_ms: Option<f64>,
     pub failures: f64,
 }
@@ -158,6 +162,15 @@
 /// While the whole of a dependency fails, so many calls are at it at one time: trials, by which its recovery is found.
 const TRIALS: usize = 1;
 
+/// What came of looking for a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tried {
+    Made,
+    /// There are some, and each has as many calls as it bears.
+    Full,
+    Nobody,
+}
+
 /// All dependencies, as one instance sees them.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -210,6 +223,7 @@
             match self.places.get_mut(name) {
                 Some(place) => {
                     place.pool.replace(now, &list);
+                    place.limits.retain(|name, _| list.iter().any(|(known, ..)| known == name));
                     place.wanted = of.clone();
                 }
                 None => {
@@ -218,6 +232,7 @@
                         pool: Pool::new(now, &list, &wanted.zone, of.out_most),
                         attempts: Attempts::default(),
                         limit: Limit::new(LIMIT_FIRST, LIMIT_MOST),
+                        limits: BTreeMap::new(),
                         waiting: Waiting::default(),
                         open: 0,
                         took: VecDeque::new(),
@@ -332,18 +347,41 @@
             return;
         }
         place.waiting.began(ticket.group);
-        if !self.attempt(now, number, false, chance) {
-            self.leave_room(now, number, chance);
-            self.instead(now, number, chance, true);
+        match self.attempt(now, number, false, chance) {
+            Tried::Made => {}
+            Tried::Full => self.wait_again(number),
+            Tried::Nobody => {
+                self.leave_room(now, number, chance);
+                self.instead(now, number, chance, true);
+            }
         }
     }
 
-    /// One attempt at a server that was not tried yet. False: there is nobody.
-    fn attempt(&mut self, now: f64, number: u64, beside: bool, chance: &mut dyn FnMut() -> f64) -> bool {
-        let Some(ticket) = self.tickets.get_mut(&number) else { return false };
-        let Some(place) = self.places.get_mut(&ticket.dependency) else { return false };
-        let but: Vec<usize> = ticket.tried.iter().filter_map(|name| place.pool.place(name)).collect();
-        let Some(chosen) = place.pool.pick(now, &but, chance) else { return false };
+    /// Its turn had come, and all servers are full: it waits for the next one.
+    fn wait_again(&mut self, number: u64) {
+        let Some(ticket) = self.tickets.get_mut(&number) else { return };
+        if let Some(place) = self.places.get_mut(&ticket.dependency) {
+            ticket.waits = true;
+            place.waiting.ended(ticket.group);
+            place.waiting.wait(ticket.group, number, ticket.deadline - place.lowest);
+        }
+    }
+
+    /// One attempt at a server that was not tried yet and has room.
+    fn attempt(&mut self, now: f64, number: u64, beside: bool, chance: &mut dyn FnMut() -> f64) -> Tried {
+        let Some(ticket) = self.tickets.get_mut(&number) else { return Tried::Nobody };
+        let Some(place) = self.places.get_mut(&ticket.dependency) else { return Tried::Nobody };
+        let mut but: Vec<usize> = ticket.tried.iter().filter_map(|name| place.pool.place(name)).collect();
+        let tried = but.len();
+        let limits = &place.limits;
+        let full = |server: &Server| {
+            limits.get(&server.name).is_some_and(|limit| !limit.has_room(server.open as usize))
+        };
+        let servers = place.pool.servers().iter().enumerate();
+        but.extend(servers.filter(|(_, server)| server.open > 0 && full(server)).map(|(at, _)| at));
+        let Some(chosen) = place.pool.pick(now, &but, chance) else {
+            return if but.len() > tried { Tried::Full } else { Tried::Nobody };
+        };
         let server = place.pool.servers()[chosen].name.clone();
         let attempt = self.next;
         self.next += 1;
@@ -357,7 +395,7 @@
         self.by_attempt.insert(attempt, number);
         let wait = (ticket.deadline - now).max(0.001);
         self.steps.push_back(Step::Attempt { ticket: number, attempt, server, wait });
-        true
+        Tried::Made
     }
 
     /// An attempt has ended; with its reply where it went well. Late words of what was given up count for nothing.
@@ -401,7 +439,7 @@
         let in_time =
             place.as_ref().is_some_and(|place| now + place.usual().unwrap_or(0.0) < ticket.deadline);
         let again = in_time && place.is_some_and(|place| place.attempts.again(ticket.effect, ended));
-        if again && self.attempt(now, number, false, chance) {
+        if again && self.attempt(now, number, false, chance) == Tried::Made {
             let of = self.tickets.get(&number).map(|ticket| ticket.dependency.clone());
             if let Some(place) = of.and_then(|of| self.places.get_mut(&of)) {
                 place.counts.again += 1;
@@ -429,6 +467,9 @@
             }
             if ended == Ended::Succeeded {
                 place.limit.ended(took, place.open);
+                let open = place.pool.place(&one.server).map_or(0, |at| place.pool.servers()[at].open);
+                let limit = place.limits.entry(one.server.clone());
+                limit.or_insert_with(|| Limit::new(LIMIT_FIRST, LIMIT_MOST)).ended(took, open as usize);
                 if place.took.len() == TOOK {
                     place.took.pop_front();
                 }
@@ -439,13 +480,19 @@
         Some(one)
     }
 
+    /// It counts no longer among its operation's calls there.
+    fn free(&mut self, number: u64) {
+        let Some(ticket) = self.tickets.get(&number) else { return };
+        if let Some(place) = self.places.get_mut(&ticket.dependency) {
+            place.waiting.ended(ticket.group);
+        }
+    }
+
     /// The call has left its dependency: whoever waits there may be next.
     fn leave_room(&mut self, now: f64, number: u64, chance: &mut dyn FnMut() -> f64) {
         let Some(ticket) = self.tickets.get(&number) else { return };
         let dependency = ticket.dependency.clone();
-        if let Some(place) = self.places.get_mut(&dependency) {
-            place.waiting.ended(ticket.group);
-        }
+        self.free(number);
         loop {
             let Some(place) = self.places.get_mut(&dependency) else { return };
             if place.attempts.fails() || !place.limit.has_room(place.open) {
@@ -454,8 +501,13 @@
             let Some((_, next)) = place.waiting.take() else { return };
             if let Some(ticket) = self.tickets.get_mut(&next) {
                 ticket.waits = false;
-                if !self.attempt(now, next, false, chance) {
-                    self.instead(now, next, chance, true);
+                match self.attempt(now, next, false, chance) {
+                    Tried::Made => {}
+                    Tried::Full => return self.wait_again(next),
+                    Tried::Nobody => {
+                        self.free(next);
+                        self.instead(now, next, chance, true);
+                    }
                 }
             }
         }
@@ -564,7 +616,7 @@
             let may =
                 place.is_some_and(|place| place.limit.has_room(place.open) && place.attempts.hedge(effect));
             if may
-                && self.attempt(now, number, true, chance)
+                && self.attempt(now, number, true, chance) == Tried::Made
                 && let Some(place) = self.places.get_mut(&dependency)
             {
                 place.counts.hedges += 1;
@@ -607,7 +659,7 @@
 
     /// How all stand.
     pub fn report(&self) -> Vec<Report> {
-        let of_server = |server: &crate::servers::Server| {
+        let of_server = |place: &Place, server: &Server| {
             let (state, why) = match server.standing {
                 Standing::In => ("in", None),
                 Standing::Out { why, .. } => ("out", Some(why)),
@@ -619,6 +671,7 @@
                 state,
                 why,
                 open: server.open,
+                limit: place.limits.get(&server.name).map(|limit| limit.get().floor()),
                 mean_ms: server.mean().map(|mean| (mean * 1e6).round() / 1e3),
                 failures: (server.failures() * 1e3).round() / 1e3,
             }
@@ -631,7 +684,7 @@
             waiting: place.waiting.len(),
             attempts_left: place.attempts.left(),
             counts: place.counts,
-            servers: place.pool.servers().iter().map(of_server).collect(),
+            servers: place.pool.servers().iter().map(|server| of_server(place, server)).collect(),
         };
         self.places.iter().map(of).collect()
     }
--- a/crates/merlinshelf-dependencies/tests/router.rs
+++ b/crates/merlinshelf-dependencies/tests/router.rs
@@ -259,6 +259,50 @@
     assert!(world.router.knows("page", 0, Some("a")) && !world.router.knows("page", 0, Some("b")));
 }
 
+/// A server that takes one call after the other while its peers take many at once.
+#[test]
+fn a_server_that_bears_less_gets_less_and_nothing_is_lost_for_it() {
+    use std::cell::Cell;
+    thread_local!(static FREE: Cell<f64> = const { Cell::new(0.0) });
+    FREE.set(0.0);
+    let mut world = World::new("{to: 'a', needed: true}", |now, server| {
+        if server != "127.0.0.1:2" {
+            return Some((0.004, Ended::Succeeded));
+        }
+        let end = FREE.get().max(now) + 0.004;
+        FREE.set(end);
+        Some((end - now, Ended::Succeeded))
+    });
+    let (whole, all) = world.play(2000.0, 8.0);
+    assert!(whole * 1000 >= all * 999, "{whole} of {all}");
+    let report = world.router.report();
+    let of = |address: &str| {
+        report[0].servers.iter().find(|server| server.address == address).and_then(|server| server.limit)
+    };
+    assert!(of("127.0.0.1:2") <= of("127.0.0.1:1"), "{report:?}");
+    assert!(world.attempts["127.0.0.1:2"] < world.attempts["127.0.0.1:1"], "{:?}", world.attempts);
+}
+
+#[test]
+fn fifty_dependencies_are_kept_apart() {
+    let mut all = wanted("{to: 'a'}");
+    let one = all.dependencies["a"].clone();
+    let calls: Vec<_> = (0..50).map(|number| format!("{{to: 'd{number}'}}")).collect();
+    let parsed: Dependencies =
+        json5::from_str(&format!("{{operations: {{page: {{calls: [{}]}}}}}}", calls.join(", ")))
+            .expect("it can be read");
+    all.operations = parsed.operations;
+    all.dependencies = (0..50).map(|number| (format!("d{number}"), one.clone())).collect();
+    assert_eq!(all.check(), Ok(()));
+    let mut world = World::new("{to: 'a'}", well);
+    world.router = Router::new(0.0, all, "n1");
+    let asked: Vec<u64> = (0..50).map(|place| world.ask_as(Some(1.0), Effect::Idempotent, place)).collect();
+    world.until(1.0);
+    assert!(asked.iter().all(|ticket| world.ends[ticket] == End::Reply { missing: None }));
+    let report = world.router.report();
+    assert!(report.len() == 50 && report.iter().all(|of| of.counts.succeeded == 1 && of.open == 0));
+}
+
 #[derive(Clone, Debug)]
 enum Happens {
     Ask {
