Take in callers that speak uwsgi on the same address, by the first byte

Need: some front ends speak uwsgi. `uwsgi: true` in the operators' file switches it on; without it nothing changes. What a connection does (table, bounds, slow and bad clients, leaving, answers) stands once; server/codec.rs is the difference, and the exchange does not learn which it was. The form passes in an upgrade with the connection (records::Edge::front).

--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -214,8 +214,12 @@
             }
             let listener = server::listen(self.config.listen)?;
             info!("{} listens on {}", self.config.name, self.config.listen);
-            self.instance =
-                Some(Prepared::fresh(exchange, listener).go(&self.config, self.peers, self.routing.clone()));
+            self.instance = Some(Prepared::fresh(exchange, listener).go(
+                &self.config,
+                self.peers,
+                self.routing.clone(),
+                self.operator.uwsgi,
+            ));
             self.learn();
             self.open_control()?;
         }
@@ -463,7 +467,12 @@
                         "{} goes on with what its predecessor had: {edges} connections, {lines} calls, {hand} in hand",
                         self.config.name
                     );
-                    self.instance = Some(prepared.go(&self.config, self.peers, self.routing.clone()));
+                    self.instance = Some(prepared.go(
+                        &self.config,
+                        self.peers,
+                        self.routing.clone(),
+                        self.operator.uwsgi,
+                    ));
                     self.learn();
                 }
                 self.try_control();
@@ -522,7 +531,7 @@
         let prepared = self.prepare(&image, passed, learnt)?;
         let (edges, lines, hand) = prepared.sums();
         let broken = prepared.broken;
-        let instance = prepared.go(&self.config, self.peers, self.routing.clone());
+        let instance = prepared.go(&self.config, self.peers, self.routing.clone(), self.operator.uwsgi);
         instance.exchange.borrow_mut().counters.taken_back += 1;
         self.instance = Some(instance);
         if let Some(learning) = &mut self.learning {
--- a/crates/merlinshelf-backend/src/instance.rs
+++ b/crates/merlinshelf-backend/src/instance.rs
@@ -163,14 +163,20 @@
     }
 
     /// Sets it going.
-    pub fn go(self, config: &Config, peers: Peers, routing: Option<routing::Shared>) -> Instance {
+    pub fn go(
+        self,
+        config: &Config,
+        peers: Peers,
+        routing: Option<routing::Shared>,
+        uwsgi: bool,
+    ) -> Instance {
         let Prepared { exchange, listener, edges, lines, mut link, link_discards, .. } = self;
         if let Some(routing) = &routing {
             exchange.borrow_mut().set_parts(|operation| routing.borrow().parts(operation));
         }
         let calls_most = client::calls_most(config.sockets);
         let doors_most = server::doors_most(config.sockets, calls_most);
-        let server = Server::new(exchange.clone(), doors_most);
+        let server = Server::new(exchange.clone(), doors_most, uwsgi);
         for (socket, door, record, settled) in edges {
             match discard(&socket, settled.discard) {
                 Ok(()) => server.resume(socket, door, record),
--- a/crates/merlinshelf-backend/src/operator.rs
+++ b/crates/merlinshelf-backend/src/operator.rs
@@ -27,6 +27,9 @@
     /// Learning from other instances and from one's own past; absent: off.
     #[garde(dive)]
     pub learning: Option<Learning>,
+    /// Callers may speak uwsgi as well as FastCGI, on the same address.
+    #[garde(skip)]
+    pub uwsgi: bool,
     /// Several dependencies with several servers each, and which operation calls which; absent: all calls go to the platform's one
     /// catalogue. Read anew with SIGHUP.
     #[garde(inner(custom(holds_together)))]
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -10,7 +10,8 @@
 use log::{debug, warn};
 use merlinshelf_handover::{Flow, Key, Role, records};
 use merlinshelf_protocol::Fault;
-use merlinshelf_protocol::fastcgi::{self, Piece, Records, Status};
+use merlinshelf_protocol::fastcgi::{self, Piece, Status};
+use merlinshelf_protocol::uwsgi;
 use rustix::net::{Shutdown, shutdown};
 use tokio::io::{AsyncWrite, Interest};
 use tokio::net::TcpStream;
@@ -19,6 +20,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::assembly::{Assembly, Partial, Step};
+use super::codec::{self, Codec, ONLY};
 use super::fields::{Asked, Bad, Fields};
 use super::table::{Said, Seat};
 use crate::exchange::{Answer, Deposit, Door, Place, Reply, Shared, pass};
@@ -50,7 +52,7 @@
     exchange: Shared,
     seat: Seat,
     door: Door,
-    records: Records,
+    codec: Codec,
     coming: Ring,
     going: Ring,
     assembly: Assembly,
@@ -84,14 +86,14 @@
         exchange: &Shared,
         seat: Seat,
         door: Door,
-        connections_most: usize,
+        (connections_most, uwsgi): (usize, bool),
     ) -> Connection {
         Connection {
             socket,
             exchange: exchange.clone(),
             seat,
             door,
-            records: Records::default(),
+            codec: Codec::new(uwsgi),
             coming: Ring::default(),
             going: Ring::default(),
             assembly: Assembly::default(),
@@ -117,13 +119,13 @@
         exchange: &Shared,
         seat: Seat,
         door: Door,
-        connections_most: usize,
+        (connections_most, uwsgi): (usize, bool),
         record: records::Edge,
     ) -> Connection {
-        let mut connection = Connection::new(socket, exchange, seat, door, connections_most);
+        let mut connection = Connection::new(socket, exchange, seat, door, (connections_most, uwsgi));
         let Flow { taken, given, coming, going } = record.flow;
         (connection.coming, connection.going) = (Ring::resumed(coming, taken), Ring::resumed(going, given));
-        connection.records = Records::resumed(record.record);
+        connection.codec = Codec::resumed((record.front, record.record), uwsgi);
         for partial in record.partials {
             let place = exchange.borrow().keep_place(partial.params.len() + partial.body.len());
             connection.assembly.resume(partial, place);
@@ -133,7 +135,7 @@
         connection.said = Said::from_number(record.said);
         (connection.read_closed, connection.last_word) = (record.read_closed, record.last_word);
         connection.resumed = true;
-        let partly = connection.records.within() || !connection.coming.is_empty();
+        let partly = connection.codec.within() || !connection.coming.is_empty();
         if connection.said > Said::Nothing && !partly {
             connection.unfinished_since = None;
         }
@@ -142,6 +144,7 @@
 
     /// How it stands, for a process that carries it on.
     fn record(&self) -> records::Edge {
+        let (front, record) = self.codec.state();
         records::Edge {
             flow: Flow {
                 taken: self.coming.moved(),
@@ -149,7 +152,8 @@
                 coming: self.coming.to_vec(),
                 going: self.going.to_vec(),
             },
-            record: self.records.state(),
+            record,
+            front,
             partials: self.assembly.records(),
             open: self.open.iter().map(|(tag, keep)| (*tag, *keep)).collect(),
             astray: self.astray,
@@ -383,7 +387,7 @@
             Ok(()) if self.astray > ASTRAY_MOST => Fault("too much that belongs to nothing"),
             Ok(()) if self.faults >= FAULTS_MOST => Fault("one fault after the other"),
             Ok(()) => {
-                let partly = self.records.within() || !self.coming.is_empty();
+                let partly = self.codec.within() || !self.coming.is_empty();
                 let began = self.unfinished_since.unwrap_or_else(Instant::now);
                 self.unfinished_since = (partly || self.said == Said::Nothing).then_some(began);
                 return Ok(true);
@@ -406,9 +410,10 @@
     fn take_in(&mut self) -> Result<(), Fault> {
         let mut coming = std::mem::take(&mut self.coming);
         let result = coming.read(|bytes| {
-            let (count, piece) = self.records.next(bytes)?;
+            let (count, piece) = self.codec.next(bytes)?;
             match piece {
-                Some(piece) => self.piece(piece)?,
+                Some(codec::Piece::FastCgi(piece)) => self.piece(piece)?,
+                Some(codec::Piece::Uwsgi(piece)) => self.piece_of_uwsgi(piece),
                 None => self.astray += count,
             }
             Ok(count)
@@ -431,13 +436,7 @@
                 self.faults += 1;
                 fastcgi::end(&mut self.going, id, Status::UnknownRole);
             }
-            Piece::Begin { id, keep, .. } => match self.place() {
-                Some(place) => self.assembly.begin(id, keep, place),
-                None => {
-                    self.exchange.borrow_mut().counters.too_many += 1;
-                    fastcgi::end(&mut self.going, id, Status::Overloaded);
-                }
-            },
+            Piece::Begin { id, keep, .. } => self.begin(id, keep),
             Piece::Params { id, bytes } => {
                 let step = self.assembly.params(id, bytes);
                 self.step(id, step, bytes.len());
@@ -465,6 +464,46 @@
         Ok(())
     }
 
+    fn begin(&mut self, id: u16, keep: bool) {
+        match self.place() {
+            Some(place) => self.assembly.begin(id, keep, place),
+            None => self.overloaded(id),
+        }
+    }
+
+    /// As many are in hand or being read as there may be.
+    fn overloaded(&mut self, id: u16) {
+        self.exchange.borrow_mut().counters.too_many += 1;
+        self.last_word |= !self.codec.overloaded(&mut self.going, id, &head(503, ""));
+    }
+
+    /// The same of a request of uwsgi: its ends are told with its pieces, not by pieces of their own.
+    fn piece_of_uwsgi(&mut self, piece: uwsgi::Piece) {
+        let (bytes, last) = match piece {
+            uwsgi::Piece::Begin => return self.begin(ONLY, false),
+            uwsgi::Piece::Part { bytes } => {
+                let step = self.assembly.params(ONLY, bytes);
+                return self.step(ONLY, step, bytes.len());
+            }
+            uwsgi::Piece::Vars { bytes, body } => {
+                let step = self.assembly.params(ONLY, bytes);
+                self.step(ONLY, step, bytes.len());
+                let step = self.assembly.params(ONLY, b"");
+                self.step(ONLY, step, 0);
+                (&b""[..], body == 0)
+            }
+            uwsgi::Piece::Body { bytes, last } => (bytes, last),
+        };
+        if !bytes.is_empty() {
+            let step = self.assembly.body(ONLY, bytes);
+            self.step(ONLY, step, bytes.len());
+        }
+        if last {
+            let step = self.assembly.body(ONLY, b"");
+            self.step(ONLY, step, 0);
+        }
+    }
+
     fn step(&mut self, id: u16, step: Step, bytes: usize) {
         match step {
             Step::Reading => {}
@@ -478,13 +517,12 @@
     fn complete(&mut self, id: u16, partial: Partial) {
         self.whole(Said::Checks);
         let Partial { keep, params, body, .. } = partial;
-        let asked = Fields::read(&params).and_then(|fields| fields.asked(&self.exchange.borrow(), body));
+        let asked =
+            Fields::read(&self.codec, &params).and_then(|fields| fields.asked(&self.exchange.borrow(), body));
         let bad = match asked {
             Ok(Asked::Check) => return self.check(id, keep),
             Ok(Asked::Invocation(_)) if self.exchange.borrow().is_full() => {
-                self.exchange.borrow_mut().counters.too_many += 1;
-                fastcgi::end(&mut self.going, id, Status::Overloaded);
-                return;
+                return self.overloaded(id);
             }
             Ok(Asked::Invocation(arrival)) => {
                 let (reply, call) = (Reply { door: self.door.number(), tag: id }, arrival.id);
@@ -562,9 +600,11 @@
     }
 
     fn write(&mut self, id: u16, keep: bool, head: &str, body: &[u8]) {
-        fastcgi::answer(&mut self.going, id, head, body);
+        let kept = self.codec.answer(&mut self.going, id, keep, head, body);
         self.idle_since = Instant::now();
-        self.last_word |= !keep;
+        self.last_word |= !kept;
+        // What still comes of the one request would meet a close, which could destroy the answer on its way.
+        self.spoilt |= !kept && matches!(self.codec, Codec::Uwsgi(_)) && self.codec.within();
     }
 }
 
--- a/crates/merlinshelf-backend/src/server/fields.rs
+++ b/crates/merlinshelf-backend/src/server/fields.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::str::FromStr;
 
-use merlinshelf_protocol::{CallId, fastcgi};
+use merlinshelf_protocol::CallId;
 
+use super::codec::Codec;
 use crate::exchange::{Arrival, Exchange};
 
 /// Why one invocation is turned down, its neighbours untouched: the status and a line for the log.
@@ -33,8 +34,9 @@
 pub struct Fields<'a>(Vec<(&'a [u8], &'a [u8])>);
 
 impl<'a> Fields<'a> {
-    pub fn read(params: &'a [u8]) -> Result<Fields<'a>, Bad> {
-        fastcgi::pairs(params).map(Fields).map_err(|fault| Bad::new(400, fault.to_string()))
+    /// Those of a whole stream of parameters, in the codec's form.
+    pub fn read(codec: &Codec, params: &'a [u8]) -> Result<Fields<'a>, Bad> {
+        codec.pairs(params).map(Fields)
     }
 
     pub fn asked(&self, exchange: &Exchange, body: Vec<u8>) -> Result<Asked, Bad> {
--- a/crates/merlinshelf-backend/src/server/mod.rs
+++ b/crates/merlinshelf-backend/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! The side of the edge nodes: connections, the invocations read from them, the answers written back.
 
 mod assembly;
+mod codec;
 mod connection;
 mod fields;
 mod table;
@@ -84,24 +85,27 @@
     exchange: Shared,
     table: Rc<Table>,
     most: usize,
+    /// Callers may speak uwsgi, too.
+    uwsgi: bool,
 }
 
 impl Server {
-    pub fn new(exchange: Shared, most: usize) -> Server {
-        Server { exchange, table: Rc::default(), most }
+    pub fn new(exchange: Shared, most: usize, uwsgi: bool) -> Server {
+        Server { exchange, table: Rc::default(), most, uwsgi }
     }
 
     /// Carries on a connection that another process has served, behind the door that was opened for it.
     pub fn resume(&self, socket: TcpStream, door: Door, record: records::Edge) {
         let seat = self.table.sit();
-        let connection = Connection::resumed(socket, &self.exchange, seat, door, self.most, record);
+        let connection =
+            Connection::resumed(socket, &self.exchange, seat, door, (self.most, self.uwsgi), record);
         spawn_local(connection.serve());
     }
 
     fn begin(&self, socket: TcpStream) {
         let _ = socket.set_nodelay(true);
         let (seat, door) = (self.table.sit(), Door::open(&self.exchange));
-        spawn_local(Connection::new(socket, &self.exchange, seat, door, self.most).serve());
+        spawn_local(Connection::new(socket, &self.exchange, seat, door, (self.most, self.uwsgi)).serve());
     }
 }
 
@@ -109,7 +113,7 @@
 /// edge node may have written to them already. With a full table the one that has been idle for the longest
 /// makes room for a newcomer, once there is one; only while all have something in hand do newcomers wait.
 pub async fn accept(listener: Rc<Listening>, server: Server, close: Rc<Notify>) {
-    let Server { exchange, table, most } = &server;
+    let Server { exchange, table, most, .. } = &server;
     let most = *most;
     let closed = close.notified();
     pin!(closed);
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -73,6 +73,8 @@
     pub flow: Flow,
     /// The record that has come in part: kind, id, bytes of content and of padding still to come.
     pub record: (u8, u16, usize, usize),
+    /// What it speaks: 0 FastCGI, 1 uwsgi, 2 nothing yet.
+    pub front: u8,
     pub partials: Vec<Partial>,
     /// Read and not answered yet: its tag, and whether the connection is kept after it.
     pub open: Vec<(u16, bool)>,
--- a/crates/merlinshelf-lab/src/instance.rs
+++ b/crates/merlinshelf-lab/src/instance.rs
@@ -48,6 +48,8 @@
     pub dependencies: Option<Value>,
     /// Where calls go that go to no dependency; none: to a catalogue of its own.
     pub catalogue: Option<String>,
+    /// Callers may speak uwsgi.
+    pub uwsgi: bool,
 }
 
 impl Setup {
@@ -71,6 +73,7 @@
             learning: None,
             dependencies: None,
             catalogue: None,
+            uwsgi: false,
         }
     }
 }
@@ -165,6 +168,9 @@
             }
             operator["learning"] = learning;
         }
+        if setup.uwsgi {
+            operator["uwsgi"] = json!(true);
+        }
         if let Some(dependencies) = &setup.dependencies {
             operator["dependencies"] = dependencies.clone();
         }
--- a/crates/merlinshelf-lab/src/load.rs
+++ b/crates/merlinshelf-lab/src/load.rs
@@ -1,6 +1,6 @@
 //! Edge nodes under load: kept connections that send invocations at a rate, and the checker of what comes back.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::pin::pin;
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::stand_in::{Records, result_of};
-use crate::wire::ask;
+use crate::wire::{ask, ask_uwsgi};
 
 /// What the edge nodes send.
 #[derive(Clone, Debug)]
@@ -33,6 +33,18 @@
     pub body: usize,
     pub patience: Duration,
     pub seed: u64,
+    pub front: Front,
+}
+
+/// What callers speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Front {
+    #[default]
+    FastCgi,
+    /// With a connection for each invocation.
+    Uwsgi,
+    /// The one or the other, by chance.
+    Both,
 }
 
 /// One invocation, as its edge node saw it.
@@ -98,7 +110,7 @@
     pub fn of_all(address: &str, connections: usize, rate: f64, seed: u64) -> Load {
         let operations = ["thumbnail", "transcript-search", "playback-token"].map(str::to_owned).to_vec();
         let (address, patience) = (address.to_owned(), Duration::from_secs(4));
-        Load { address, connections, rate, operations, body: 120, patience, seed }
+        Load { address, connections, rate, operations, body: 120, patience, seed, front: Front::default() }
     }
 
     /// Opens the connections and sends until told to stop; then waits for what is open.
@@ -120,6 +132,7 @@
     async fn send(&self, writers: Vec<Writer>, seen: Shared) {
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
         let (mut at, mut number) = (Instant::now(), 0_u64);
+        let asking = Rc::new(Cell::new(0_usize));
         while !seen.borrow().closing {
             at += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / self.rate);
             sleep_until(at).await;
@@ -132,6 +145,33 @@
             let (writer, open) = &writers[place];
             let operation = &self.operations[rng.random_range(0..self.operations.len())];
             let body: Vec<u8> = (0..self.body).map(|_| rng.random()).collect();
+            let uwsgi = match self.front {
+                Front::FastCgi => false,
+                Front::Uwsgi => true,
+                Front::Both => rng.random(),
+            };
+            if uwsgi {
+                let patience = self.patience.as_millis().to_string();
+                let rank = format!("{:.4}", rng.random::<f64>().min(0.999));
+                let changes = [
+                    ("HTTP_X_CALL_ID", id.as_str()),
+                    ("HTTP_X_PATIENCE_MS", &patience),
+                    ("HTTP_X_IMPORTANCE", &rank),
+                ];
+                let bytes = ask_uwsgi(operation, &body, &changes);
+                seen.borrow_mut().sent.insert(id.clone(), Sent::now(operation, body));
+                asking.set(asking.get() + 1);
+                let (address, seen, asking, most) =
+                    (self.address.clone(), seen.clone(), asking.clone(), self.patience);
+                spawn_local(async move {
+                    let asked =
+                        tokio::time::timeout(most + Duration::from_millis(500), by_uwsgi(&address, &bytes))
+                            .await;
+                    seen.borrow_mut().by_uwsgi(&id, asked.unwrap_or(Came::Nothing));
+                    asking.set(asking.get() - 1);
+                });
+                continue;
+            }
             let Some(tag) = (1..=32).find(|tag| !open.borrow().contains_key(tag)) else { continue };
             let patience = self.patience.as_millis().to_string();
             let rank = format!("{:.4}", rng.random::<f64>().min(0.999));
@@ -142,22 +182,13 @@
                 &[("HTTP_X_CALL_ID", &id), ("HTTP_X_PATIENCE_MS", &patience), ("HTTP_X_IMPORTANCE", &rank)],
             );
             open.borrow_mut().insert(tag, id.clone());
-            let operation = operation.clone();
-            let sent = Sent {
-                at: Instant::now(),
-                operation,
-                answers: Vec::new(),
-                body,
-                poorer: false,
-                partial: None,
-                spoilt: false,
-            };
-            seen.borrow_mut().sent.insert(id, sent);
+            seen.borrow_mut().sent.insert(id, Sent::now(operation, body));
             let _ = writer.send((tag, bytes));
         }
         // Whatever is open must be answered by its patience.
         let until = Instant::now() + self.patience + Duration::from_secs(1);
-        while Instant::now() < until && writers.iter().any(|(_, open)| !open.borrow().is_empty()) {
+        let waits = || asking.get() > 0 || writers.iter().any(|(_, open)| !open.borrow().is_empty());
+        while Instant::now() < until && waits() {
             sleep_until(Instant::now() + Duration::from_millis(5)).await;
         }
         seen.borrow_mut().closing = true;
@@ -288,14 +319,7 @@
                     continue;
                 };
                 if let Some(sent) = seen.sent.get_mut(&id) {
-                    let body = out.windows(4).position(|four| four == b"\r\n\r\n").map(|at| &out[at + 4..]);
-                    let made = result_of(&id, &sent.body);
-                    sent.spoilt |= status == 200 && !body.is_some_and(|body| body.starts_with(&made));
-                    sent.poorer |= body.is_some_and(|body| body.ends_with(b", poorer"));
-                    let text = String::from_utf8_lossy(&out[..out.len().min(1024)]).into_owned();
-                    sent.partial =
-                        text.lines().find_map(|line| line.strip_prefix("X-Partial: ")).map(str::to_owned);
-                    sent.answers.push((Instant::now(), status));
+                    sent.answered(&id, status, &out);
                 }
             }
             _ => {}
@@ -303,12 +327,78 @@
     }
 }
 
+/// What came of an invocation by uwsgi.
+enum Came {
+    /// Nobody was there: nothing of it was read.
+    Nobody,
+    /// The connection ended or stood still without a whole answer.
+    Nothing,
+    Answer(u16, Vec<u8>),
+}
+
+/// One invocation on a connection of its own, to its end.
+async fn by_uwsgi(address: &str, bytes: &[u8]) -> Came {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return Came::Nobody };
+    let _ = stream.set_nodelay(true);
+    if stream.write_all(bytes).await.is_err() {
+        return Came::Nothing;
+    }
+    let mut out = Vec::new();
+    if stream.read_to_end(&mut out).await.is_err() {
+        return Came::Nothing;
+    }
+    let text = String::from_utf8_lossy(&out[..out.len().min(1024)]).into_owned();
+    let field = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
+    let status = text.strip_prefix("HTTP/1.1 ").and_then(|rest| rest.get(..3)?.parse().ok());
+    let length = field("Content-Length: ").and_then(|length| length.parse::<usize>().ok());
+    let body = out.windows(4).position(|four| four == b"\r\n\r\n").map(|at| out.len() - at - 4);
+    match status {
+        Some(status) if body.is_some() && body == length => Came::Answer(status, out),
+        _ => Came::Nothing,
+    }
+}
+
+impl Sent {
+    fn now(operation: &str, body: Vec<u8>) -> Sent {
+        Sent {
+            at: Instant::now(),
+            operation: operation.to_owned(),
+            answers: Vec::new(),
+            body,
+            poorer: false,
+            partial: None,
+            spoilt: false,
+        }
+    }
+
+    /// An answer has come: head and body.
+    fn answered(&mut self, id: &str, status: u16, out: &[u8]) {
+        let sent = self;
+        let body = out.windows(4).position(|four| four == b"\r\n\r\n").map(|at| &out[at + 4..]);
+        let made = result_of(id, &sent.body);
+        sent.spoilt |= status == 200 && !body.is_some_and(|body| body.starts_with(&made));
+        sent.poorer |= body.is_some_and(|body| body.ends_with(b", poorer"));
+        let text = String::from_utf8_lossy(&out[..out.len().min(1024)]).into_owned();
+        sent.partial = text.lines().find_map(|line| line.strip_prefix("X-Partial: ")).map(str::to_owned);
+        sent.answers.push((Instant::now(), status));
+    }
+}
+
 fn status_of(out: &[u8]) -> u16 {
     let text = String::from_utf8_lossy(&out[..out.len().min(20)]).into_owned();
     text.strip_prefix("Status: ").and_then(|rest| rest.get(..3)?.parse().ok()).unwrap_or(0)
 }
 
 impl Seen {
+    fn by_uwsgi(&mut self, id: &str, came: Came) {
+        let Some(sent) = self.sent.get_mut(id) else { return };
+        match came {
+            Came::Nobody => sent.answers.push((Instant::now(), NOBODY)),
+            Came::Nothing => {}
+            Came::Answer(status, out) => sent.answered(id, status, &out),
+        }
+    }
+
     /// Nothing further is sent.
     pub fn stop(&mut self) {
         self.closing = true;
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -108,6 +108,20 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// The same mix in overload by FastCGI, by uwsgi and by both: served, throttled and errored by operation, and what it costs
+    #[command(after_help = "Example:\n  merlinshelf-lab trial uwsgi --seed 20 --seeds 5")]
+    Uwsgi {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds are played, from this one on
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Invocations a second, half as many again as the stand-in engine works off
+        #[arg(long, default_value_t = 300.0)]
+        rate: f64,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// What being taught is worth, what bad teachers cost, what it costs a fleet, and what crashes leave
     #[command(after_help = "Example:\n  merlinshelf-lab trial learning --seed 17 --seeds 20 --at-once 4")]
     Learning {
@@ -209,6 +223,11 @@
             let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
             local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
         }
+        Command::Trial { trial: Trial::Uwsgi { seed, seeds, rate, program } } => {
+            let program = std::fs::canonicalize(found(program)?)?;
+            let plan = trial::uwsgi::Plan { seed, seeds, rate, program };
+            local.block_on(&runtime, trial::uwsgi::run(&plan)).map(|(_, clean)| clean)
+        }
         Command::Trial { trial: Trial::Dependencies { seed, rate, at_once, faults, program } } => {
             let program = std::fs::canonicalize(found(program)?)?;
             let plan = trial::dependencies::Plan { seed, rate, at_once, faults, program };
--- a/crates/merlinshelf-lab/src/trial/mod.rs
+++ b/crates/merlinshelf-lab/src/trial/mod.rs
@@ -6,3 +6,4 @@
 pub mod learning;
 pub mod restart;
 pub mod upgrade;
+pub mod uwsgi;
--- a/crates/merlinshelf-lab/src/wire.rs
+++ b/crates/merlinshelf-lab/src/wire.rs
@@ -11,14 +11,13 @@
     SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis()
 }
 
-/// One invocation as an edge node writes it, with some fields changed; an empty one is left out.
-pub fn ask(tag: u16, class: &str, body: &[u8], changes: &[(&str, &str)]) -> Vec<u8> {
-    let path = format!("/svc/{class}");
-    let (id, now) = (format!("{tag:016x}"), unix_ms().to_string());
+/// The fields of an invocation, with some of them changed; an empty one is left out.
+fn fields(id: &str, class: &str, changes: &[(&str, &str)]) -> Vec<(String, String)> {
+    let (path, now) = (format!("/svc/{class}"), unix_ms().to_string());
     let mut fields = vec![
         ("REQUEST_METHOD", "POST"),
         ("SCRIPT_NAME", path.as_str()),
-        ("HTTP_X_CALL_ID", id.as_str()),
+        ("HTTP_X_CALL_ID", id),
         ("HTTP_X_QUEUE_START", now.as_str()),
         ("HTTP_X_SOURCE", "4"),
         ("HTTP_X_PATIENCE_MS", "4000"),
@@ -29,8 +28,28 @@
         fields.retain(|(known, _)| known != name);
         fields.push((name, value));
     }
+    let all = fields.into_iter().filter(|(_, value)| !value.is_empty());
+    all.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+/// One invocation as a front end that speaks uwsgi writes it.
+pub fn ask_uwsgi(class: &str, body: &[u8], changes: &[(&str, &str)]) -> Vec<u8> {
+    let length = body.len().to_string();
+    let all: Vec<(&str, &str)> =
+        std::iter::once(("CONTENT_LENGTH", length.as_str())).chain(changes.iter().copied()).collect();
+    let fields = fields(&id(1), class, &all);
+    let fields: Vec<(&str, &str)> =
+        fields.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+    let mut bytes: Vec<u8> = Vec::new();
+    merlinshelf_protocol::uwsgi::request(&mut bytes, &fields);
+    bytes.extend(body);
+    bytes
+}
+
+/// One invocation as an edge node writes it, with some fields changed; an empty one is left out.
+pub fn ask(tag: u16, class: &str, body: &[u8], changes: &[(&str, &str)]) -> Vec<u8> {
     let mut params = Vec::new();
-    for (name, value) in fields.iter().filter(|(_, value)| !value.is_empty()) {
+    for (name, value) in fields(&id(tag), class, changes) {
         params.push(name.len() as u8);
         params.extend((value.len() as u32 | 0x8000_0000).to_be_bytes());
         params.extend(name.as_bytes());
--- a/crates/merlinshelf-protocol/src/lib.rs
+++ b/crates/merlinshelf-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fastcgi;
 pub mod members;
 pub mod teaching;
+pub mod uwsgi;
 
 use std::fmt;
 
