Find whoever serves an instance before starting it anew; describe uwsgi for operators

Ruled out: the instance's own take-back (nothing lost, it answered on its socket). At fault: host.rs knew only who was named as predecessor. Now whoever answers on the socket and was started with the instance's own files is found again (pid, start time and arguments); a foreign process still is not.

--- a/crates/merlinshelf-agent/src/host.rs
+++ b/crates/merlinshelf-agent/src/host.rs
@@ -13,7 +13,7 @@
 use merlinshelf_backend::logger;
 use merlinshelf_backend::operator::Format;
 use merlinshelf_fleet::fit::address;
-use merlinshelf_fleet::{Fleet, Identity, Instance, Report, State, Step, Wanted};
+use merlinshelf_fleet::{Fleet, Identity, Report, State, Step, Wanted};
 use merlinshelf_protocol::control::{Question, Word};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -53,12 +53,22 @@
 /// What happened, from the tasks beside the loop.
 enum Event {
     Ended(String, Identity, Option<i32>),
-    /// It ended in the midst of its upgrade, and nobody had taken over from it.
-    NobodyElse(String, Option<i32>),
+    /// A process serves with the instance's own files and socket that was not known here.
+    Found(String, Identity),
+    /// There is none.
+    NobodyElse(String, Unfound),
     Reported(String, Box<Report>),
     Upgraded(String, Result<(), String>),
 }
 
+/// Why a process of an instance was looked for.
+enum Unfound {
+    /// The one that was known has ended, with this status.
+    Ended(Option<i32>),
+    /// Somebody listens where a new one was to.
+    NotStarted,
+}
+
 /// Where a tool's answers go.
 type Reply = UnboundedSender<(Word, Value)>;
 
@@ -223,18 +233,31 @@
                 let current = self.held.get(&name).is_some_and(|(known, _)| *known == identity);
                 if current {
                     self.held.remove(&name);
-                    let upgrading = |one: &Instance| one.state == State::Upgrading;
-                    if self.fleet.get(&name).is_some_and(upgrading) {
-                        return self.seek_successor(name, identity, status);
+                    // One that was told to leave has nobody to go on with what it had.
+                    let (told, upgrades) = self
+                        .fleet
+                        .get(&name)
+                        .map_or((true, false), |one| (one.told, one.state == State::Upgrading));
+                    if !told {
+                        return self.seek(name, identity, upgrades, Unfound::Ended(status));
                     }
                     let chance = self.rng.random();
                     self.fleet.ended(now, &name, status, chance);
                 }
             }
-            Event::NobodyElse(name, status) => {
+            Event::Found(name, identity) => {
+                if self.hold(&name, &identity) {
+                    self.fleet.found(now, &name, identity);
+                }
+            }
+            Event::NobodyElse(name, Unfound::Ended(status)) => {
                 let chance = self.rng.random();
                 self.fleet.ended(now, &name, status, chance);
             }
+            Event::NobodyElse(name, Unfound::NotStarted) => {
+                let (chance, why) = (self.rng.random(), "another process listens on its control socket");
+                self.fleet.not_started(now, &name, why, chance);
+            }
             Event::Reported(name, report) => {
                 let known = self.fleet.get(&name).and_then(|one| one.identity.clone());
                 let own = known
@@ -257,23 +280,34 @@
         }
     }
 
-    /// A process that ends in the midst of its upgrade may have been taken over from before: its successor says so on the socket,
-    /// at once or as soon as it serves. Only where nobody does has the instance ended.
-    fn seek_successor(&self, name: String, ended: Identity, status: Option<i32>) {
-        let (sender, control) = (self.events.0.clone(), self.paths(&name).control);
+    /// Looks who answers on an instance's socket. A process that ends in the midst of an upgrade may have been taken over from, and
+    /// a successor that ends may have been taken back from: whoever names the one that ended as its predecessor, or was started with
+    /// the instance's own files, is the instance. In an upgrade its socket may be opened a moment later.
+    fn seek(&self, name: String, ended: Identity, waits: bool, why: Unfound) {
+        let (sender, paths) = (self.events.0.clone(), self.paths(&name));
         spawn_local(async move {
             let until = Instant::now() + SOUGHT_FOR;
-            while Instant::now() < until {
-                let answer = Talk::once(&control, Question::Status, ANSWER_WITHIN).await;
+            loop {
+                let answer = Talk::once(&paths.control, Question::Status, ANSWER_WITHIN).await;
                 let said = answer.ok().filter(|(word, _)| *word == Word::Done);
-                let report = said.and_then(|(_, said)| report(&said));
-                if let Some(report) = report.filter(|report| report.predecessor == Some(ended.pid)) {
-                    let _ = sender.send(Event::Reported(name, Box::new(report)));
+                let report =
+                    said.and_then(|(_, said)| report(&said)).filter(|report| report.identity != ended);
+                if let Some(report) = report {
+                    if report.predecessor == Some(ended.pid) {
+                        let _ = sender.send(Event::Reported(name, Box::new(report)));
+                        return;
+                    }
+                    if processes::was_started_with(&report.identity, &paths.config) {
+                        let _ = sender.send(Event::Found(name, report.identity));
+                        return;
+                    }
+                }
+                if !waits || Instant::now() >= until {
+                    let _ = sender.send(Event::NobodyElse(name, why));
                     return;
                 }
                 sleep(SOUGHT_EVERY).await;
             }
-            let _ = sender.send(Event::NobodyElse(name, status));
         });
     }
 
@@ -315,12 +349,15 @@
                     Some(one) => files::make(self.fleet.wanted(), one),
                     None => return,
                 };
-                let started = made.and_then(|paths| {
-                    if control::is_taken(&paths.control) {
-                        return Err(io::Error::other("another process listens on its control socket"));
+                let started = match made {
+                    Ok(paths) if control::is_taken(&paths.control) => {
+                        return self.seek(name, Identity::default(), false, Unfound::NotStarted);
                     }
-                    processes::start(Path::new(&program), &[&paths.config, &paths.operator], &paths.log)
-                });
+                    Ok(paths) => {
+                        processes::start(Path::new(&program), &[&paths.config, &paths.operator], &paths.log)
+                    }
+                    Err(error) => Err(error),
+                };
                 let held = started.and_then(|identity| {
                     self.fleet.started(now, &name, identity.clone());
                     if self.hold(&name, &identity) {
--- a/crates/merlinshelf-agent/src/processes.rs
+++ b/crates/merlinshelf-agent/src/processes.rs
@@ -91,3 +91,10 @@
         let _ = pidfd_send_signal(self.held.get_ref(), signal);
     }
 }
+
+/// Whether this very process was started with that file as one of its arguments.
+pub fn was_started_with(of: &Identity, file: &Path) -> bool {
+    let line = std::fs::read(format!("/proc/{}/cmdline", of.pid)).unwrap_or_default();
+    let named = line.split(|byte| *byte == 0).any(|word| word == file.as_os_str().as_encoded_bytes());
+    named && identity(of.pid).as_ref() == Some(of)
+}
--- a/crates/merlinshelf-cli/src/check.rs
+++ b/crates/merlinshelf-cli/src/check.rs
@@ -15,7 +15,12 @@
         return ExitCode::from(WRONG_USAGE);
     }
     let config = config.map(|path| (path.clone(), check_config(&path)));
-    let operator = operator.map(|path| (path.clone(), Operator::load(Some(&path)).map(|_| ())));
+    let operator = operator.map(|path| (path.clone(), Operator::load(Some(&path))));
+    let speaks = match &operator {
+        Some((_, Ok(of))) if of.uwsgi => "FastCGI and uwsgi",
+        _ => "FastCGI",
+    };
+    let operator = operator.map(|(path, of)| (path, of.map(|_| ())));
     let files = [("config", config), ("operator", operator)];
     let mut failed = false;
     for (what, path, result) in
@@ -23,9 +28,17 @@
     {
         failed |= result.is_err();
         if as_json {
-            tell!("{}", json!({ "file": path, "what": what, "usable": result.is_ok(), "why": result.err() }));
+            tell!(
+                "{}",
+                json!({
+                    "file": path, "what": what, "usable": result.is_ok(), "why": result.err(), "listener": speaks,
+                })
+            );
         } else {
             match result {
+                Ok(()) if what == "operator" => {
+                    tell!("{}: can be used; the listener speaks {speaks}", path.display());
+                }
                 Ok(()) => tell!("{}: can be used", path.display()),
                 Err(why) => tell!("{why}"),
             }
--- a/crates/merlinshelf-cli/tests/fleet.rs
+++ b/crates/merlinshelf-cli/tests/fleet.rs
@@ -65,37 +65,68 @@
     });
 }
 
+/// Begins the upgrade of one of two; its old process, and its new one, which is watched by then.
+async fn in_the_midst_of_an_upgrade(number: u8) -> io::Result<(Rig, u32, u32)> {
+    let rig = Rig::start(PROGRAM.as_ref(), number, 2, &change()).await?;
+    rig.when("serving", 2).await?;
+    let (all, _) = rig.status().await?;
+    let pid =
+        |one: &Value| one["process"].as_u64().and_then(|pid| u32::try_from(pid).ok()).expect("a process");
+    let old = pid(&all[0]);
+    let program = copy_of_program(&rig)?;
+    last(&rig, json!({ "op": "upgrade", "program": program, "names": ["web.0"] })).await?;
+    // The successor says on the socket that it is watched: it serves, and the old process still waits.
+    let control = rig.folder.join("run").join("web.0").join("control");
+    loop {
+        let said = Command::new(PROGRAM).args(["status", "--json", "--control"]).arg(&control).output()?;
+        let said: Value = serde_json::from_slice(&said.stdout).unwrap_or_default();
+        if said["state"] == "watched" {
+            return Ok((rig, old, pid(&said)));
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The end of the plan.
+async fn plan_over(rig: &Rig) -> io::Result<Value> {
+    loop {
+        let (_, plan) = last(rig, json!({ "op": "plan" })).await?;
+        if plan["over"] == true {
+            return Ok(plan);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[test]
 fn an_old_process_that_is_killed_after_its_successor_took_over_stops_no_plan() {
     play(async {
-        let rig = Rig::start(PROGRAM.as_ref(), 231, 2, &change()).await?;
+        let (rig, old, _) = in_the_midst_of_an_upgrade(231).await?;
+        signal(old, Signal::KILL);
+        let plan = plan_over(&rig).await?;
+        assert_eq!(plan["state"], "done", "{plan}\n{}", rig.history().await?);
         rig.when("serving", 2).await?;
-        let (all, _) = rig.status().await?;
-        let old = all[0]["process"].as_u64().and_then(|pid| u32::try_from(pid).ok()).expect("a process");
-        let program = copy_of_program(&rig)?;
-        last(&rig, json!({ "op": "upgrade", "program": program, "names": ["web.0"] })).await?;
-        // The successor says on the socket that it is watched: it serves, and the old process still waits.
-        let control = rig.folder.join("run").join("web.0").join("control");
-        loop {
-            let said =
-                Command::new(PROGRAM).args(["status", "--json", "--control"]).arg(&control).output()?;
-            if String::from_utf8_lossy(&said.stdout).contains("\"state\":\"watched\"") {
-                break;
-            }
+        let history = rig.history().await?;
+        assert!(history.contains("web.0") && !history.contains("ended by itself"), "{history}");
+        Ok(())
+    });
+}
+
+#[test]
+fn a_successor_that_is_killed_while_watched_is_taken_back_from_and_the_old_process_is_found_again() {
+    play(async {
+        let (rig, old, new) = in_the_midst_of_an_upgrade(232).await?;
+        // The agent knows it by then.
+        while names_where(&rig, |one| one["process"] == new).await?.is_empty() {
             sleep(Duration::from_millis(10)).await;
         }
-        signal(old, Signal::KILL);
-        loop {
-            let (_, plan) = last(&rig, json!({ "op": "plan" })).await?;
-            if plan["over"] == true {
-                assert_eq!(plan["state"], "done", "{plan}\n{}", rig.history().await?);
-                break;
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
+        signal(new, Signal::KILL);
+        let plan = plan_over(&rig).await?;
+        assert!(plan["state"].as_str().is_some_and(|state| state.contains("taken back")), "{plan}");
         rig.when("serving", 2).await?;
+        assert_eq!(names_where(&rig, |one| one["process"] == old).await?, ["web.0"]);
         let history = rig.history().await?;
-        assert!(history.contains("web.0") && !history.contains("ended by itself"), "{history}");
+        assert!(!history.contains("not started") && !history.contains("ended by itself"), "{history}");
         Ok(())
     });
 }
@@ -201,7 +232,7 @@
 #[test]
 fn a_file_that_is_spoilt_for_one_group_changes_nothing_and_names_it() {
     play(async {
-        let rig = Rig::start(PROGRAM.as_ref(), 231, 2, &change()).await?;
+        let rig = Rig::start(PROGRAM.as_ref(), 216, 2, &change()).await?;
         rig.when("serving", 2).await?;
         let (before, _) = rig.status().await?;
         let file = rig.folder.join("fleet.json5");
--- a/crates/merlinshelf-cli/tests/uwsgi.rs
+++ b/crates/merlinshelf-cli/tests/uwsgi.rs
@@ -60,12 +60,15 @@
     Ok(instance.status().await?["counters"][name].as_u64().unwrap_or(0))
 }
 
+/// Operation, body, changed fields, and the status that it gets.
+type Case<'a> = (&'a str, Vec<u8>, Vec<(&'a str, &'a str)>, u16);
+
 #[test]
 fn the_same_input_gets_the_same_answer_and_counts_alike_whatever_is_spoken() {
     play(async {
         let instance = Instance::start(&setup(), 11).await?;
         let long = "x".repeat(5000);
-        let cases: [(&str, Vec<u8>, Vec<(&str, &str)>, u16); 10] = [
+        let cases: [Case; 10] = [
             ("thumbnail", b"page".to_vec(), vec![], 200),
             ("nothing", b"page".to_vec(), vec![], 404),
             ("thumbnail", b"page".to_vec(), vec![("REQUEST_METHOD", "GET")], 405),
