Pace trials of a dependency that fails, and keep nobody waiting for a turn there

Now 0.1 s lie between a trial that fails and the next. Seen beside it: calls that waited for a turn stayed until their time was over though the whole of it failed; now they end at once. Both have a test in virtual time; of 400 calls at once that all fail, 400 have their lesser answer within 0.1 s.

--- a/crates/merlinshelf-dependencies/src/router.rs
+++ b/crates/merlinshelf-dependencies/src/router.rs
@@ -92,6 +92,8 @@
     pub(crate) waiting: Waiting,
     /// Attempts that are open now, of all operations.
     pub(crate) open: usize,
+    /// While the whole of it fails, no trial before this.
+    trial_at: f64,
     /// The last durations that went well, and the least ever.
     took: VecDeque<f64>,
     lowest: f64,
@@ -114,6 +116,9 @@
 const KEPT_MOST: usize = 512;
 /// While the whole of a dependency fails, so many calls are at it at one time: trials, by which its recovery is found.
 const TRIALS: usize = 1;
+/// From a trial that fails to the next one: those that fail at once would follow each other as fast as calls come. Ten a second find a
+/// recovery within about one, and one that goes well is followed at once.
+const TRIAL_PAUSE: f64 = 0.1;
 
 /// What came of looking for a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -188,6 +193,7 @@
                         limits: BTreeMap::new(),
                         waiting: Waiting::default(),
                         open: 0,
+                        trial_at: now,
                         took: VecDeque::new(),
                         lowest: 0.0,
                         counts: Counts::default(),
@@ -288,9 +294,10 @@
         };
         place.counts.calls += 1;
         if place.attempts.fails() {
-            if place.open >= TRIALS {
+            if place.open >= TRIALS || now < place.trial_at {
                 return self.instead(now, number, chance, true);
             }
+            place.trial_at = now + TRIAL_PAUSE;
         } else if !place.limit.has_room(place.open) {
             // Time for the call itself must be left once its turn comes.
             let until = ticket.deadline - place.lowest;
@@ -418,6 +425,7 @@
                 place.attempts.ended(ended, took);
             }
             if ended == Ended::Succeeded {
+                place.trial_at = now;
                 place.limit.ended(took, place.open);
                 let open = place.pool.place(&one.server).map_or(0, |at| place.pool.servers()[at].open);
                 let limit = place.limits.entry(one.server.clone());
@@ -447,12 +455,19 @@
         self.free(number);
         loop {
             let Some(place) = self.places.get_mut(&dependency) else { return };
-            if place.attempts.fails() || !place.limit.has_room(place.open) {
+            // Where the whole of it fails nobody is kept waiting for a turn that does not come.
+            let fails = place.attempts.fails();
+            if !fails && !place.limit.has_room(place.open) {
                 return;
             }
             let Some((_, next)) = place.waiting.take() else { return };
             if let Some(ticket) = self.tickets.get_mut(&next) {
                 ticket.waits = false;
+                if fails {
+                    self.free(next);
+                    self.instead(now, next, chance, true);
+                    continue;
+                }
                 match self.attempt(now, next, false, chance) {
                     Tried::Made => {}
                     Tried::Full => return self.wait_again(next),
--- a/crates/merlinshelf-dependencies/tests/router.rs
+++ b/crates/merlinshelf-dependencies/tests/router.rs
@@ -164,6 +164,8 @@
     let (whole, all) = world.play(200.0, 10.0);
     assert_eq!(whole, 0);
     assert!(world.attempts_in_all() as usize * 10 <= all * 11, "{} for {all}", world.attempts_in_all());
+    // Ten trials a second, once it was found to fail.
+    assert!(world.attempts_in_all() < 200, "{}", world.attempts_in_all());
     let lesser = End::Lesser { bytes: Some(b"less".to_vec()), missing: "a".into() };
     assert!(world.ends.values().all(|end| *end == lesser));
     // It recovers and is found again within seconds.
@@ -172,6 +174,17 @@
     assert!(whole * 10 >= all * 8, "{whole} of {all}");
 }
 
+#[test]
+fn nobody_is_kept_waiting_where_the_whole_of_it_fails() {
+    let mut world = World::new("{to: 'a', instead: {fixed: 'less'}}", |_, _| Some((0.02, Ended::Unknown)));
+    // Far more than the limit, so that most wait for a turn.
+    let asked: Vec<u64> = (0..400).map(|_| world.ask()).collect();
+    assert!(world.router.report()[0].waiting > 300);
+    world.until(0.1);
+    let over = asked.iter().filter(|ticket| world.ends.contains_key(ticket)).count();
+    assert_eq!(over, 400, "they wait though it fails");
+}
+
 #[test]
 fn all_of_one_fails_and_the_other_stands_in_marked() {
     let mut world = World::new("{to: 'c', needed: true}", |_, server| {
