--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -116,7 +116,7 @@
         /// How many seeds are played, from this one on
         #[arg(long, default_value_t = 5)]
         seeds: u64,
-        /// Invocations a second, half as many again as the stand-in engine works off
+        /// Invocations a second; about half of 300 is taken in
         #[arg(long, default_value_t = 300.0)]
         rate: f64,
         #[arg(long)]
--- a/crates/merlinshelf-lab/src/trial/uwsgi.rs
+++ b/crates/merlinshelf-lab/src/trial/uwsgi.rs
@@ -16,7 +16,7 @@
 pub struct Plan {
     pub seed: u64,
     pub seeds: u64,
-    /// Invocations a second, of which the stand-in engine works off about two thirds.
+    /// Invocations a second; of 300 about half is taken in.
     pub rate: f64,
     pub program: PathBuf,
 }
