Keep a call's question with its ticket, look effects up once, one way to ask an instance

What was asked of a dependency stood in a map of its own beside the ticket, thinned out now and then: it goes with the ticket now. Each call below read its operation's effect from the settings by a name made for it, also on the platform: it is found out once at the start, and command_lost uses the same. The agent asked instances how they stand in three copies of the same lines, the host set an instance going in three, two tests read the rest of a half one in two. An assertion of the uwsgi test says its one meaning.

--- a/crates/merlinshelf-agent/src/host.rs
+++ b/crates/merlinshelf-agent/src/host.rs
@@ -200,10 +200,7 @@
             return self.fleet.found(now, name, known);
         }
         let control = self.paths(name).control;
-        let Ok((Word::Done, status)) = Talk::once(&control, Question::Status, ANSWER_WITHIN).await else {
-            return;
-        };
-        let Some(report) = report(&status) else { return };
+        let Some(report) = reported(&control).await else { return };
         if report.predecessor == Some(known.pid) && self.hold(name, &report.identity) {
             self.fleet.found(now, name, report.identity);
         }
@@ -288,10 +285,7 @@
         spawn_local(async move {
             let until = Instant::now() + SOUGHT_FOR;
             loop {
-                let answer = Talk::once(&paths.control, Question::Status, ANSWER_WITHIN).await;
-                let said = answer.ok().filter(|(word, _)| *word == Word::Done);
-                let report =
-                    said.and_then(|(_, said)| report(&said)).filter(|report| report.identity != ended);
+                let report = reported(&paths.control).await.filter(|report| report.identity != ended);
                 if let Some(report) = report {
                     if report.predecessor == Some(ended.pid) {
                         let _ = sender.send(Event::Reported(name, Box::new(report)));
@@ -323,9 +317,7 @@
             let address = probes.then(|| self.address(name)).flatten();
             let (name, control) = (name.clone(), self.paths(name).control);
             spawn_local(async move {
-                let answer = Talk::once(&control, Question::Status, ANSWER_WITHIN).await;
-                let said = answer.ok().filter(|(word, _)| *word == Word::Done);
-                let mut report = said.and_then(|(_, said)| report(&said));
+                let mut report = reported(&control).await;
                 // One that says that it is well and lets nobody in is not.
                 if let (Some(report), Some(address)) = (&mut report, address)
                     && report.healthy == Some(true)
@@ -539,6 +531,13 @@
     }
 }
 
+/// How whoever listens on a control socket stands; none where nobody says so in time.
+async fn reported(control: &Path) -> Option<Report> {
+    let answer = Talk::once(control, Question::Status, ANSWER_WITHIN).await;
+    let (_, said) = answer.ok().filter(|(word, _)| *word == Word::Done)?;
+    report(&said)
+}
+
 /// What an instance says of itself; none where it is no such report.
 fn report(status: &Value) -> Option<Report> {
     let pid = u32::try_from(status["process"].as_u64()?).ok()?;
--- a/crates/merlinshelf-backend/src/client/catalogue.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue.rs
@@ -2,7 +2,7 @@
 //! other; connections are kept for the next call for a while.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,7 +25,7 @@
 use crate::exchange::{CallNumber, Called, Deposit, Order, Shared, pass};
 use crate::fault;
 use crate::ring::{Moved, Ring};
-use crate::routing::{self, CallKey};
+use crate::routing;
 
 /// How long a connection is kept idle. The far end closes or forgets idle ones, and a call that meets this has
 /// an end that proves nothing; a new connection costs a fraction of a millisecond.
@@ -75,9 +75,8 @@
     address: SocketAddr,
     tasks: JoinSet<(Attempt, Made)>,
     open: BTreeMap<Attempt, AbortHandle>,
-    /// The calls that go to dependencies, with their questions, where the operators name some.
+    /// The calls that go to dependencies, where the operators name some.
     routing: Option<routing::Shared>,
-    questions: HashMap<CallKey, Rc<[u8]>>,
     waiting: VecDeque<Call>,
     /// The longest idle first.
     idle: VecDeque<Line>,
@@ -98,10 +97,10 @@
     let wake = exchange.borrow().orders_wake();
     let mut freezing = exchange.borrow().freezing();
     let address = peers.borrow_and_update().catalogue;
-    let (tasks, open, questions) = (JoinSet::new(), BTreeMap::new(), HashMap::new());
+    let (tasks, open) = (JoinSet::new(), BTreeMap::new());
     let (waiting, idle) = (VecDeque::new(), VecDeque::new());
     let routed = routing.as_ref().map_or_else(Rc::default, |routing| routing.borrow().wake());
-    let mut calls = Calls { exchange, address, tasks, open, routing, questions, waiting, idle, most };
+    let mut calls = Calls { exchange, address, tasks, open, routing, waiting, idle, most };
     resumed.take().into_iter().for_each(|line| calls.resume(line));
     loop {
         calls.take_orders();
@@ -135,14 +134,12 @@
             match order {
                 Some(Order::Invoke { id, number, wait, body, wanted }) => match &self.routing {
                     Some(routing) if routing.borrow().knows(&wanted) => {
-                        self.questions.insert((id, number), body.clone());
                         routing.borrow_mut().ask(&self.exchange, (id, number), wait, &body, &wanted);
                     }
                     _ => self.waiting.push_back(Call { id, number, wait, body, attempt: 0 }),
                 },
                 // Closing its connection gives a call up, with nothing of it left to come.
                 Some(Order::GiveUp { id, number }) => {
-                    self.questions.remove(&(id, number));
                     if let Some(routing) = &self.routing {
                         routing.borrow_mut().give_up(&self.exchange, (id, number));
                     }
@@ -186,9 +183,8 @@
                         let step = Step::Attempt { ticket, attempt, server, wait };
                         return routing.borrow_mut().put_back(step);
                     }
-                    let key = routing.borrow().call_of(ticket);
-                    let Some((id, number)) = key else { continue };
-                    let Some(body) = self.questions.get(&(id, number)).cloned() else { continue };
+                    let call = routing.borrow().call_of(ticket);
+                    let Some(((id, number), body)) = call else { continue };
                     match server.parse() {
                         Ok(address) => self.make(Call { id, number, wait, body, attempt }, address),
                         Err(_) => routing.borrow_mut().ended(&self.exchange, attempt, &Called::NeverRan),
@@ -201,13 +197,9 @@
                     }
                 }
                 Some(Step::Over { .. }) => {}
-                None => break,
+                None => return,
             }
         }
-        // The questions of calls that are over are wanted no more.
-        if self.questions.len() > 2 * self.most.max(64) {
-            self.questions.retain(|key, _| routing.borrow().is_open(*key));
-        }
     }
 
     fn woken(&mut self) {
--- a/crates/merlinshelf-backend/src/exchange/calls.rs
+++ b/crates/merlinshelf-backend/src/exchange/calls.rs
@@ -109,13 +109,12 @@
     pub(super) fn wanted(&mut self, inv: usize) -> Wanted {
         let now = self.origin.elapsed();
         let Some(one) = self.hand.look(inv) else { unreachable!("a call of nobody") };
-        let effect = self.settings.get(&format!("Classes.{}.Effect", one.operation));
         Wanted {
             operation: self.names[one.operation].clone(),
             place: one.wanted.saturating_sub(1),
             named: one.named.clone(),
             left: one.due.map(|due| due.saturating_sub(now).as_secs_f64()),
-            idempotent: effect.is_some_and(|effect| effect == "read_like"),
+            idempotent: self.idempotent[one.operation],
         }
     }
 
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -51,6 +51,8 @@
     seed: u64,
     operations: HashMap<Vec<u8>, usize>,
     names: Vec<Rc<str>>,
+    /// By operation, whether it may run and call again.
+    idempotent: Vec<bool>,
     /// By operation, whether a run was ever seen to make more than one call.
     calls_again: Vec<bool>,
     meters: Vec<String>,
@@ -115,10 +117,10 @@
             return Err("settings: Classes lacks an operation or one's Name".into());
         }
         // The wire brings no token by which a repeat could be known, so that such an operation might run twice.
-        let tokened = |place: &usize| {
-            let effect = settings.get(&format!("Classes.{place}.Effect"));
-            effect.is_some_and(|effect| effect == "idempotency_key")
+        let has = |place: usize, effect: &str| {
+            settings.get(&format!("Classes.{place}.Effect")).is_some_and(|known| known == effect)
         };
+        let tokened = |place: &usize| has(*place, "idempotency_key");
         if let Some(place) = (0..count).find(tokened) {
             return Err(format!("settings: Classes.{place}.Effect: repeats can't be known on this wire"));
         }
@@ -127,6 +129,7 @@
         let idle = settings.get("FamilyInfo.CallerIdleUs").and_then(|us| us.parse().ok()).unwrap_or(0);
         Ok(Exchange {
             operations: operations.collect(),
+            idempotent: (0..count).map(|place| has(place, "read_like")).collect(),
             calls_again: vec![false; names.len()],
             names,
             meters: meters.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect(),
--- a/crates/merlinshelf-backend/src/exchange/runs.rs
+++ b/crates/merlinshelf-backend/src/exchange/runs.rs
@@ -171,8 +171,7 @@
         match command {
             // A second one might reach the run's next call, where runs of this operation make more than one.
             Command::Feed { .. } if self.calls_again[operation] => {
-                let idempotent = self.settings.get(&format!("Classes.{operation}.Effect"));
-                if idempotent.is_some_and(|effect| effect == "read_like") {
+                if self.idempotent[operation] {
                     self.decide(|shedder, now| shedder.wants_call(now, inv));
                 }
             }
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -214,12 +214,7 @@
             }
             let listener = server::listen(self.config.listen)?;
             info!("{} listens on {}", self.config.name, self.config.listen);
-            self.instance = Some(Prepared::fresh(exchange, listener).go(
-                &self.config,
-                self.peers,
-                self.routing.clone(),
-                self.operator.uwsgi,
-            ));
+            self.instance = Some(self.set_going(Prepared::fresh(exchange, listener)));
             self.learn();
             self.open_control()?;
         }
@@ -467,12 +462,7 @@
                         "{} goes on with what its predecessor had: {edges} connections, {lines} calls, {hand} in hand",
                         self.config.name
                     );
-                    self.instance = Some(prepared.go(
-                        &self.config,
-                        self.peers,
-                        self.routing.clone(),
-                        self.operator.uwsgi,
-                    ));
+                    self.instance = Some(self.set_going(prepared));
                     self.learn();
                 }
                 self.try_control();
@@ -531,7 +521,7 @@
         let prepared = self.prepare(&image, passed, learnt)?;
         let (edges, lines, hand) = prepared.sums();
         let broken = prepared.broken;
-        let instance = prepared.go(&self.config, self.peers, self.routing.clone(), self.operator.uwsgi);
+        let instance = self.set_going(prepared);
         instance.exchange.borrow_mut().counters.taken_back += 1;
         self.instance = Some(instance);
         if let Some(learning) = &mut self.learning {
@@ -630,6 +620,10 @@
         }
     }
 
+    fn set_going(&self, prepared: Prepared) -> Instance {
+        prepared.go(&self.config, self.peers, self.routing.clone(), self.operator.uwsgi)
+    }
+
     /// Learns beside the service, where that is switched on.
     fn learn(&mut self) {
         if let (Some(learning), Some(instance)) = (&mut self.learning, &self.instance) {
--- a/crates/merlinshelf-backend/src/routing.rs
+++ b/crates/merlinshelf-backend/src/routing.rs
@@ -22,7 +22,8 @@
     router: Router,
     began: Instant,
     chance: Pcg64Mcg,
-    calls: HashMap<u64, CallKey>,
+    /// By ticket, with what is asked.
+    calls: HashMap<u64, (CallKey, Rc<[u8]>)>,
     tickets: HashMap<CallKey, u64>,
     /// Attempts to be made and given up.
     todo: VecDeque<Step>,
@@ -94,7 +95,7 @@
         exchange: &exchange::Shared,
         key: CallKey,
         wait: f64,
-        question: &[u8],
+        question: &Rc<[u8]>,
         wanted: &Wanted,
     ) {
         let ask = Ask {
@@ -108,7 +109,7 @@
         };
         let (now, chance) = (self.now(), &mut self.chance);
         let ticket = self.router.ask(now, &ask, &mut || chance.random());
-        self.calls.insert(ticket, key);
+        self.calls.insert(ticket, (key, question.clone()));
         self.tickets.insert(key, ticket);
         self.follow(exchange, None);
     }
@@ -149,13 +150,9 @@
         (self.calls, self.tickets, self.todo) = Default::default();
     }
 
-    pub fn is_open(&self, key: CallKey) -> bool {
-        self.tickets.contains_key(&key)
-    }
-
-    /// The call whose attempt it is.
-    pub fn call_of(&self, ticket: u64) -> Option<CallKey> {
-        self.calls.get(&ticket).copied()
+    /// The call whose attempt it is, and what is asked.
+    pub fn call_of(&self, ticket: u64) -> Option<(CallKey, Rc<[u8]>)> {
+        self.calls.get(&ticket).cloned()
     }
 
     /// Ends are told at once, so that what a reply changes and that its line is gone can be noted together.
@@ -166,7 +163,7 @@
                 self.wake.notify_one();
                 continue;
             };
-            let Some((id, number)) = self.calls.remove(&ticket) else { continue };
+            let Some(((id, number), _)) = self.calls.remove(&ticket) else { continue };
             self.tickets.remove(&(id, number));
             let end = match (end, called) {
                 (End::Reply { missing: None }, Some(called)) => called.clone(),
--- a/crates/merlinshelf-cli/tests/uwsgi.rs
+++ b/crates/merlinshelf-cli/tests/uwsgi.rs
@@ -56,6 +56,15 @@
     Ok((after("Status: ").or_else(|| after("HTTP/1.1 ")), text))
 }
 
+/// Writes the rest of what is half read after so many ms, and reads the answer to its end.
+async fn the_rest(mut half: TcpStream, rest: &[u8], after_ms: u64) -> io::Result<String> {
+    sleep(Duration::from_millis(after_ms)).await;
+    half.write_all(rest).await?;
+    let mut out = Vec::new();
+    half.read_to_end(&mut out).await?;
+    Ok(String::from_utf8_lossy(&out).into_owned())
+}
+
 async fn counter(instance: &Instance, name: &str) -> io::Result<u64> {
     Ok(instance.status().await?["counters"][name].as_u64().unwrap_or(0))
 }
@@ -148,13 +157,7 @@
         half.write_all(&whole[..40]).await?;
         sleep(Duration::from_millis(50)).await;
         let leaving = instance.leave();
-        let rest = async {
-            sleep(Duration::from_millis(100)).await;
-            half.write_all(&whole[40..]).await?;
-            let mut out = Vec::new();
-            half.read_to_end(&mut out).await?;
-            io::Result::Ok(String::from_utf8_lossy(&out).into_owned())
-        };
+        let rest = the_rest(half, &whole[40..], 100);
         let (left, answer) = tokio::join!(leaving, rest);
         left?;
         let answer = answer?;
@@ -192,21 +195,10 @@
             sleep(Duration::from_millis(30)).await;
             let began = Instant::now();
             let said = round(&instance, program);
-            let rest = async {
-                sleep(Duration::from_millis(150)).await;
-                half.write_all(&whole[cut..]).await?;
-                let mut out = Vec::new();
-                half.read_to_end(&mut out).await?;
-                io::Result::Ok(String::from_utf8_lossy(&out).into_owned())
-            };
+            let rest = the_rest(half, &whole[cut..], 150);
             let (said, answer) = tokio::join!(said, rest);
             let (said, answer) = (said?, answer?);
-            assert!(
-                ended.is_empty() || said == ended,
-                "{said} after {:?}\n{}",
-                began.elapsed(),
-                instance.log()
-            );
+            assert_eq!(said, ended, "after {:?}\n{}", began.elapsed(), instance.log());
             assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{number}: {answer}\n{}", instance.log());
         }
         sleep(Duration::from_millis(300)).await;
