--- a/crates/merlinshelf-council/tests/council.rs
+++ b/crates/merlinshelf-council/tests/council.rs
@@ -154,7 +154,10 @@
         let (now, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.flying).into_iter().partition(|(at, ..)| *at <= tick);
         self.flying = later;
-        for (_, from, to, word) in now {
+        for (_, from, to, mut word) in now {
+            if let (Planted::Trusting, Word::Welcome { known, .. }) = (self.planted, &mut word) {
+                *known = Default::default();
+            }
             if self.cut.contains(&(from.clone(), to.clone())) {
                 continue;
             }
@@ -229,12 +232,6 @@
         let Some(agent) = self.agents.get_mut(&name) else { return };
         if well && self.rng.random_bool(0.1) {
             agent.disk = if self.rng.random_bool(0.5) { agent.older.clone() } else { Vec::new() };
-            if self.planted == Planted::Trusting {
-                // It believes that this life of its seat is the latest.
-                let seat = agent.council.as_ref().and_then(Council::seat).unwrap_or(1);
-                agent.disk = agent.older.clone();
-                agent.disk.push(Record::Seat { id: seat, life: u64::from(self.tick) + 1000 });
-            }
             self.kill(&name);
             self.returning = Some(name);
         }
