Change the policy of all in service: leases on hosts and instances, agents that decide, command line

An instance looks at its lease before it tells the module anything and changes over to a new module between two events; agents carry out the council and the change over loopback; `merlinshelf fleet policy` shows, checks, proposes and undoes. The module turns away an operation whose objective is nothing, for which a policy sets it. Off without `council` and `policy` in the operators' files.

--- /dev/null
+++ b/crates/merlinshelf-agent/src/council.rs
@@ -0,0 +1,233 @@
+//! The agent's seat in the council, carried out: its log in a folder of its own, words to and from other agents, and what is
+//! decided, in the agent's own copy of the ledger.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::path::{Path, PathBuf};
+
+use log::{error, info, warn};
+use merlinshelf_backend::learning::folder::Disk;
+use merlinshelf_council::{Council, Record, Standing, Step, Word, recover};
+use merlinshelf_knowledge::Files;
+use merlinshelf_policy::ledger::News;
+use merlinshelf_policy::{Entry, Ledger};
+
+const FILE: &str = "council";
+const NEXT: &str = "council.new";
+const ASIDE: &str = "council.aside";
+const HEAD: &[u8; 8] = b"MSC1\x01\0\0\0";
+/// After a failure of the disk it is tried again after so long, seconds.
+const AGAIN_AFTER: f64 = 0.5;
+
+/// What comes of a turn.
+#[derive(Debug)]
+pub enum Came {
+    Send(String, Word),
+    /// Something was decided, or all is another by now.
+    Decided(Option<News>),
+    Confirmed(u64),
+}
+
+/// One agent's seat, and what it has decided with the others.
+pub struct Seat {
+    name: String,
+    wanted: BTreeSet<String>,
+    folder: PathBuf,
+    held: Option<(Council, Disk)>,
+    failed_at: Option<f64>,
+    complained: bool,
+    ticket: u64,
+    pub ledger: Ledger,
+    came: Vec<Came>,
+}
+
+impl Seat {
+    /// `ticket` is a new number of its own.
+    pub fn new(name: &str, agents: &BTreeMap<String, String>, folder: &Path, ticket: u64) -> Seat {
+        Seat {
+            name: name.to_owned(),
+            wanted: agents.keys().cloned().collect(),
+            folder: folder.join("council"),
+            held: None,
+            failed_at: None,
+            complained: false,
+            ticket: ticket.max(1),
+            ledger: Ledger::default(),
+            came: Vec::new(),
+        }
+    }
+
+    pub fn council(&self) -> Option<&Council> {
+        self.held.as_ref().map(|(council, _)| council)
+    }
+
+    pub fn leader(&self) -> Option<&str> {
+        self.council()?.leader()
+    }
+
+    /// The term in which this agent leads.
+    pub fn leads(&self) -> Option<u64> {
+        self.council()?.leads()
+    }
+
+    pub fn standing(&self) -> &'static str {
+        match self.council().map(Council::standing) {
+            None => "without its disk",
+            Some(Standing::Seeking) => "seeks a seat",
+            Some(Standing::Greeting) => "asks whether it remembers all",
+            Some(Standing::Sitting) => "sits",
+        }
+    }
+
+    fn begin(&mut self) -> Result<(), String> {
+        let mut disk = Disk::lock(&self.folder).map_err(|error| error.to_string())?;
+        let kept = match disk.read(FILE).map_err(|error| error.to_string())? {
+            None => {
+                write(&mut disk, &[]).map_err(|error| error.to_string())?;
+                Vec::new()
+            }
+            Some(bytes) => match recover(&bytes) {
+                Ok((records, used)) => {
+                    if used < bytes.len() || used == 0 {
+                        // What is torn must not stand in the midst of what is written behind it.
+                        write(&mut disk, &records).map_err(|error| error.to_string())?;
+                    }
+                    records
+                }
+                Err(why) => {
+                    error!(
+                        "the council's file can't be used: {why}; it is set aside as {ASIDE}, and a new seat is asked for"
+                    );
+                    disk.rename(FILE, ASIDE).map_err(|error| error.to_string())?;
+                    Vec::new()
+                }
+            },
+        };
+        self.ticket = self.ticket.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F) | 1;
+        let council =
+            Council::begin(&self.name, &self.wanted, self.ticket, (self.ticket >> 33) as usize, &kept)?;
+        self.ledger = Ledger::default();
+        self.came.push(Came::Decided(None));
+        self.held = Some((council, disk));
+        self.carry_out();
+        Ok(())
+    }
+
+    /// Time goes on by one tick.
+    pub fn tick(&mut self, now: f64) {
+        if self.held.is_none() && self.failed_at.is_none_or(|at| now >= at + AGAIN_AFTER) {
+            match self.begin() {
+                Ok(()) => {
+                    if std::mem::take(&mut self.complained) {
+                        info!("the council's file can be used again");
+                    }
+                    self.failed_at = None;
+                }
+                Err(why) => self.fail(now, &why),
+            }
+        }
+        self.with(now, Council::tick);
+    }
+
+    pub fn heard(&mut self, now: f64, from: &str, word: Word) {
+        self.with(now, |council| council.heard(from, word));
+    }
+
+    /// Puts an entry into the log; false where this agent does not lead.
+    pub fn propose(&mut self, now: f64, entry: &Entry) -> bool {
+        let bytes = rmp_serde::to_vec_named(entry).unwrap_or_default();
+        let mut put = false;
+        self.with(now, |council| put = council.propose(bytes));
+        put
+    }
+
+    pub fn confirm(&mut self, now: f64, number: u64) {
+        self.with(now, |council| council.confirm(number));
+    }
+
+    /// What has come of all that by now.
+    pub fn take(&mut self) -> Vec<Came> {
+        std::mem::take(&mut self.came)
+    }
+
+    fn with(&mut self, now: f64, what: impl FnOnce(&mut Council)) {
+        let Some((council, _)) = &mut self.held else { return };
+        // The log library ends loudly where what it is told can't be: then all goes on from what is kept.
+        let done = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| what(council)));
+        let failed = if done.is_err() {
+            Some("what another agent said can't be".to_owned())
+        } else {
+            self.carry_out()
+        };
+        if let Some(why) = failed {
+            self.fail(now, &why);
+        }
+    }
+
+    fn fail(&mut self, now: f64, why: &str) {
+        if !self.complained {
+            warn!("this agent is out of the council: {why}");
+        }
+        (self.complained, self.held, self.failed_at) = (true, None, Some(now));
+    }
+
+    /// All steps in their order; why one could not be done. None after it is.
+    fn carry_out(&mut self) -> Option<String> {
+        loop {
+            let (council, disk) = self.held.as_mut()?;
+            if council.is_long() {
+                council.compact(rmp_serde::to_vec_named(&self.ledger).unwrap_or_default());
+            }
+            let kept = match council.next_step()? {
+                Step::Keep(records) => {
+                    let bytes: Vec<u8> = records.iter().flat_map(Record::framed).collect();
+                    disk.append(FILE, &bytes).and_then(|()| disk.sync(FILE))
+                }
+                Step::KeepAnew(records) => write(disk, &records),
+                Step::Send(to, word) => {
+                    self.came.push(Came::Send(to, word));
+                    Ok(())
+                }
+                Step::Apply(index, data) => {
+                    match rmp_serde::from_slice(&data) {
+                        Ok(entry) => {
+                            let news = self.ledger.apply(entry);
+                            self.came.extend(news.map(|news| Came::Decided(Some(news))));
+                        }
+                        Err(error) => error!("entry {index} is of a later version: {error}"),
+                    }
+                    Ok(())
+                }
+                Step::Restore(index, state) => {
+                    self.ledger = if state.is_empty() {
+                        Ledger::default()
+                    } else {
+                        rmp_serde::from_slice(&state).unwrap_or_else(|error| {
+                            error!("the state at {index} is of a later version: {error}");
+                            Ledger::default()
+                        })
+                    };
+                    self.came.push(Came::Decided(None));
+                    Ok(())
+                }
+                Step::Confirmed(number) => {
+                    self.came.push(Came::Confirmed(number));
+                    Ok(())
+                }
+            };
+            if let Err(error) = kept {
+                return Some(format!("{}: {error}", self.folder.join(FILE).display()));
+            }
+        }
+    }
+}
+
+fn write(disk: &mut Disk, records: &[Record]) -> io::Result<()> {
+    let mut bytes = HEAD.to_vec();
+    bytes.extend(records.iter().flat_map(Record::framed));
+    disk.create(NEXT)?;
+    disk.append(NEXT, &bytes)?;
+    disk.sync(NEXT)?;
+    disk.rename(NEXT, FILE)?;
+    disk.sync_folder()
+}
--- a/crates/merlinshelf-agent/src/files.rs
+++ b/crates/merlinshelf-agent/src/files.rs
@@ -123,6 +123,12 @@
         }
         operator["learning"] = learning;
     }
+    if let Some(council) = &wanted.council {
+        // Two leases: as long as it takes to elect who leads, and to be heard of.
+        operator["policy"] = json!({
+            "base": council.base, "without": council.without, "drift": council.drift, "wait_ms": 2 * council.lease_ms,
+        });
+    }
     replace(&paths.config, config.to_string().as_bytes())?;
     replace(&paths.operator, operator.to_string().as_bytes())?;
     point(&paths, &one.program)?;
--- a/crates/merlinshelf-agent/src/host.rs
+++ b/crates/merlinshelf-agent/src/host.rs
@@ -29,6 +29,7 @@
 
 use crate::asked;
 use crate::files::{self, Paths};
+use crate::policy::{Happened, PolicyAgent};
 use crate::processes::{self, Process};
 use crate::store::Store;
 use crate::talk::Talk;
@@ -86,6 +87,8 @@
     /// Tools that follow a plan to its end, and the last that each was told.
     following: Vec<(u64, Reply, String)>,
     watching: Vec<Reply>,
+    /// Its part in the policy for all; none where the file names no council.
+    policy: Option<PolicyAgent>,
 }
 
 /// Serves until told to end; the instances go on.
@@ -113,6 +116,11 @@
     let (requests, mut asked) = unbounded_channel();
     let _control = control::open(&files::agent_socket(&wanted), requests)?;
     let stop_within = files::stop_within(&wanted);
+    let life = unix().to_bits() ^ u64::from(std::process::id()) << 40;
+    let policy = match &wanted.council {
+        Some(of) => Some(PolicyAgent::begin(of, &folder, life).await?),
+        None => None,
+    };
     let known = record.instances.clone();
     let began = Instant::now();
     let mut agent = Agent {
@@ -127,6 +135,7 @@
         asked_times: 0,
         following: Vec::new(),
         watching: Vec::new(),
+        policy,
     };
     for (name, kept) in known {
         agent.adopt(&name, kept.identity).await;
@@ -150,6 +159,12 @@
             }
             Some(event) = agent.events.1.recv() => agent.happened(event),
             Some(asked) = asked.recv() => agent.asked(asked),
+            happened = next_of(&mut agent.policy) => {
+                let now = agent.now();
+                if let Some(policy) = &mut agent.policy {
+                    policy.take(now, happened);
+                }
+            }
             _ = tick.tick() => {}
         }
         agent.fleet.at(unix());
@@ -161,6 +176,7 @@
         if let Some(record) = agent.fleet.take_record() {
             agent.store.save(record);
         }
+        agent.turn_policy();
         agent.tell_progress();
         let every = ASK_EVERY.max(ASK_EACH * agent.held.len() as u32);
         if asked_at.elapsed() >= every {
@@ -176,7 +192,24 @@
     Ok(())
 }
 
+async fn next_of(policy: &mut Option<PolicyAgent>) -> Happened {
+    match policy {
+        Some(policy) => policy.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Agent {
+    /// The policy for all goes on by what has happened.
+    fn turn_policy(&mut self) {
+        let now = self.now();
+        let Some(mut policy) = self.policy.take() else { return };
+        let instances = self.held.keys().map(|name| (name.clone(), self.paths(name).control)).collect();
+        let standing = || self.fleet.instances().map(|one| asked::instance(now, one)).collect();
+        policy.turn(now, unix(), &instances, standing);
+        self.policy = Some(policy);
+    }
+
     fn now(&self) -> f64 {
         self.began.elapsed().as_secs_f64()
     }
@@ -263,6 +296,9 @@
                 if own && !self.hold(&name, &report.identity) {
                     return; // it has ended since it said so
                 }
+                if let Some(policy) = &mut self.policy {
+                    policy.counted(&name, report.invocations, report.succeeded);
+                }
                 self.fleet.reported(now, &name, *report);
             }
             Event::Upgraded(name, Ok(())) => self.fleet.upgraded(now, &name),
@@ -417,7 +453,11 @@
                 _ = reply.send(asked::status(&self.fleet, self.now(), &names).1);
             }
             // Words for instances, dropped unanswered: their asker sees the end of it.
-            Asked::Drain(_) | Asked::Upgrade(_) | Asked::Knowledge(_) | Asked::Forget(..) => {}
+            Asked::Drain(_)
+            | Asked::Upgrade(_)
+            | Asked::Knowledge(_)
+            | Asked::Forget(..)
+            | Asked::Policy(..) => {}
         }
     }
 
@@ -436,10 +476,22 @@
                 Ok(names) => {
                     let (pages, sum) = asked::status(&self.fleet, now, &names);
                     pages.into_iter().for_each(|page| say((Word::More, page)));
+                    for (agent, age, said) in
+                        self.policy.as_ref().map(|of| of.others(now)).unwrap_or_default()
+                    {
+                        say((
+                            Word::More,
+                            json!({ "agent": agent, "age_s": asked::round(age), "others": said["instances"] }),
+                        ));
+                    }
                     say((Word::Done, sum));
                 }
                 Err(why) => say(refused(why.0)),
             },
+            "policy" => match &mut self.policy {
+                Some(policy) => policy.asked(now, body, reply),
+                None => say(refused("policies are off: the fleet's file has no `council`".into())),
+            },
             "watch" => self.watching.push(reply),
             "plan" => match self.fleet.plan() {
                 Some(plan) => say((Word::Done, asked::plan(plan))),
--- a/crates/merlinshelf-agent/src/lib.rs
+++ b/crates/merlinshelf-agent/src/lib.rs
@@ -2,8 +2,11 @@
 //! the next agent finds them again.
 
 mod asked;
+mod council;
 mod files;
 mod host;
+mod links;
+mod policy;
 mod processes;
 mod store;
 pub mod talk;
--- a/crates/merlinshelf-backend/src/control.rs
+++ b/crates/merlinshelf-backend/src/control.rs
@@ -11,6 +11,7 @@
 
 use log::{debug, info, warn};
 use merlinshelf_handover::keeper::Progress;
+use merlinshelf_policy::{Beat, Said};
 use merlinshelf_protocol::control::{self, FORM, Question, Word};
 use serde_json::{Value, json};
 use tokio::net::{UnixListener, UnixStream};
@@ -25,7 +26,9 @@
 const WORD_WITHIN: Duration = Duration::from_secs(2);
 /// The longest upgrade is watched for an hour.
 const UPGRADE_WITHIN: Duration = Duration::from_secs(2 * 3600);
-const QUESTION_MOST: usize = 4 * 1024;
+/// A beat with a document is the longest.
+const QUESTION_MOST: usize = 48 * 1024;
+const POLICY_OFF: &str = "policies are off: the operators' file has no `policy`";
 const LEARNING_OFF: &str = "learning is off: the operators' file has no `learning`";
 /// After a failed accept, which mostly says that descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -39,6 +42,8 @@
     Knowledge(oneshot::Sender<Option<Vec<Value>>>),
     /// Forget what this origin told, or all; how many figures these were, none where learning is off.
     Forget(Option<String>, oneshot::Sender<Option<usize>>),
+    /// A beat of the host's agent; none where policies are off.
+    Policy(Beat, oneshot::Sender<Option<Said>>),
     /// Something for an agent, and where its answers go: all but the last are `more`.
     Fleet(Value, UnboundedSender<(Word, Value)>),
 }
@@ -181,6 +186,20 @@
             };
             timeout(UPGRADE_WITHIN, answered).await?
         }
+        Question::Policy => {
+            let beat = match serde_json::from_slice(&body) {
+                Ok(beat) => beat,
+                Err(error) => return say(stream, Word::Failed, &json!({ "text": error.to_string() })).await,
+            };
+            let (sender, said) = oneshot::channel();
+            asked.send(Asked::Policy(beat, sender)).map_err(|_| gone())?;
+            match said.await.map_err(|_| gone())? {
+                Some(said) => say(stream, Word::Done, &serde_json::to_value(&said)?).await,
+                None => say(stream, Word::Refused, &json!({ "text": POLICY_OFF })).await,
+            }
+        }
+        // What agents say to each other, on their own listener alone.
+        Question::Council => say(stream, Word::Refused, &json!({ "text": "no agent listens here" })).await,
         Question::Forget => {
             let body: Value = serde_json::from_slice(&body).unwrap_or_default();
             let origin = body["origin"].as_str().map(str::to_owned);
--- a/crates/merlinshelf-backend/src/exchange/arrivals.rs
+++ b/crates/merlinshelf-backend/src/exchange/arrivals.rs
@@ -182,6 +182,12 @@
         };
         let inv = self.hand.take(one);
         self.counters.most_in_hand = self.counters.most_in_hand.max(self.hand.len() as u64);
+        self.mind_policy();
+        if let Some(away) = self.turns_away() {
+            self.answer(inv, Answer::Throttled { away, last: false });
+            self.hand.give_back(inv);
+            return true;
+        }
         if self.shedder.is_none() {
             warn!("{id} came before the engine was up");
             self.answer(inv, Answer::Throttled { away: 0.0, last: false });
--- a/crates/merlinshelf-backend/src/exchange/carry.rs
+++ b/crates/merlinshelf-backend/src/exchange/carry.rs
@@ -77,7 +77,9 @@
     /// The image of what is here, once all parts have handed themselves in, and their connections.
     pub fn take_image(&mut self) -> (Transaction, Passed) {
         let (mut image, mut passed) = (Transaction::default(), Passed::new());
-        image.put(Key::Instance, &self.instance(true));
+        let mut instance = self.instance(true);
+        instance.policy = ByteBuf::from(self.pass_policy());
+        image.put(Key::Instance, &instance);
         for number in self.hand.all() {
             if let Some((key, record)) = self.invocation(number) {
                 image.put(key, &record);
@@ -124,6 +126,7 @@
             counters: self.counters.by_name(),
             learnt,
             knowledge: ByteBuf::from(if whole { self.knowledge.clone() } else { Vec::new() }),
+            policy: ByteBuf::new(),
         }
     }
 
--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -34,6 +34,7 @@
 
     /// Tells the module something and carries out what it decides.
     pub(super) fn decide(&mut self, tell: impl FnOnce(&mut Shedder, f64) -> Decided) {
+        self.mind_policy();
         if !self.attempt(tell) {
             self.start_over(0.0);
         }
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 mod doors;
 mod hand;
 mod outbox;
+mod policy;
 mod runs;
 #[cfg(test)]
 mod tests;
@@ -35,6 +36,7 @@
 use hand::Hand;
 pub use hand::Reply;
 use outbox::Outbox;
+pub use policy::Laid;
 pub use runs::Command;
 
 pub type Shared = Rc<RefCell<Exchange>>;
@@ -95,6 +97,8 @@
     beliefs: Beliefs,
     /// What is known, in the form of its file, for whoever carries this on.
     pub knowledge: Vec<u8>,
+    /// The policy for all, where that is on.
+    policy: Option<policy::Policed>,
     pub counters: Counters,
 }
 
@@ -162,6 +166,7 @@
             parts: None,
             beliefs: Beliefs::default(),
             knowledge: Vec::new(),
+            policy: None,
             counters: Counters::default(),
         })
     }
--- /dev/null
+++ b/crates/merlinshelf-backend/src/exchange/policy.rs
@@ -0,0 +1,163 @@
+//! The policy that holds for all instances, as this one acts on it: a lease is looked at before the module is told anything,
+//! and a change is a new module that takes up what the former one had, between two events.
+
+use std::panic::catch_unwind;
+
+use log::{error, info};
+use merlinshelf::{Settings, Shedder};
+use merlinshelf_policy::holder::Passed;
+use merlinshelf_policy::{Acting, Beat, Holder, Policy, Said};
+
+use super::{Exchange, monotonic, unix_ms};
+use crate::operator::PolicyOf;
+
+/// What else is laid under a policy: told whenever it is another one. Whether it could be is asked first.
+pub trait Laid {
+    /// # Errors
+    /// What does not fit.
+    fn fits(&self, policy: &Policy) -> Result<(), String>;
+    fn lay(&self, policy: &Policy);
+}
+
+pub struct Policed {
+    holder: Holder,
+    acting: Acting,
+    /// The settings as they were configured.
+    base: Settings,
+    laid: Box<dyn Laid>,
+}
+
+/// A number that no other process of this machine has, nor this one at another time.
+fn life() -> u64 {
+    ((unix_ms() * 1e3) as u64) << 22 ^ u64::from(std::process::id())
+}
+
+impl Exchange {
+    /// Switches the policy for all on.
+    ///
+    /// # Errors
+    /// The base policy does not fit this instance.
+    pub fn hold_policy(&mut self, of: &PolicyOf, laid: Box<dyn Laid>) -> Result<(), String> {
+        let base = std::mem::take(&mut self.settings);
+        let settings = of.base.settings(&base).and_then(|settings| laid.fits(&of.base).map(|()| settings));
+        let settings = settings.map_err(|why| format!("policy.base: {why}"));
+        let holder = Holder::new(life(), of.base.clone(), of.without, of.drift);
+        let acting = holder.acting(monotonic());
+        laid.lay(&of.base);
+        self.settings = settings?;
+        self.policy = Some(Policed { holder, acting, base, laid });
+        Ok(())
+    }
+
+    /// What a successor goes on with. This one holds no lease from here on, also if it takes back.
+    pub(super) fn pass_policy(&mut self) -> Vec<u8> {
+        let passed = self.policy.as_mut().map(|policed| policed.holder.pass(life()));
+        passed.and_then(|passed| rmp_serde::to_vec_named(&passed).ok()).unwrap_or_default()
+    }
+
+    /// Goes on with what a predecessor passed.
+    pub fn take_policy(&mut self, passed: &[u8]) {
+        if let Some(policed) = &mut self.policy {
+            let passed: Passed = rmp_serde::from_slice(passed).unwrap_or_default();
+            policed.holder.take(passed);
+        }
+    }
+
+    /// Whether it may take invocations: it knows which policy holds, or has stopped waiting.
+    pub fn policy_began(&self) -> bool {
+        self.policy.as_ref().is_none_or(|policed| policed.holder.began())
+    }
+
+    /// Nobody is waited for any more.
+    pub fn begin_without_policy(&mut self) {
+        if let Some(policed) = &mut self.policy {
+            policed.holder.begin();
+        }
+    }
+
+    /// A beat of this host's agent; none where policies are off.
+    pub fn policy_heard(&mut self, beat: Beat) -> Option<Said> {
+        let seed = self.seed;
+        let policed = self.policy.as_mut()?;
+        let Policed { holder, base, laid, .. } = policed;
+        let said = holder.heard(monotonic(), beat, |policy| {
+            let settings = policy.settings(base)?;
+            laid.fits(policy)?;
+            Shedder::start(0.0, seed, settings).map(|_| ())
+        });
+        self.mind_policy();
+        Some(said)
+    }
+
+    /// What is laid beside the settings is laid anew, for whoever changed what it is laid on.
+    pub fn lay_again(&self) {
+        if let Some(policed) = &self.policy {
+            policed.laid.lay(policed.holder.policy(policed.acting));
+        }
+    }
+
+    pub fn policy_said(&self) -> Option<Said> {
+        self.policy.as_ref().map(|policed| policed.holder.said(monotonic()))
+    }
+
+    /// How long callers are to stay away where nothing may be served.
+    pub(super) fn turns_away(&self) -> Option<f64> {
+        let away = self.policy.as_ref().is_some_and(|policed| policed.acting == Acting::Away);
+        let allowed = self.settings.get("Allowed.RetryAfter").is_some_and(|text| text == "true");
+        let most = self.settings.get("Allowed.MaxRetryAfterUs").and_then(|text| text.parse::<f64>().ok());
+        away.then(|| if allowed { most.unwrap_or(0.0) / 1e6 } else { 0.0 })
+    }
+
+    /// Looks whether something else is to be acted on by now.
+    pub(super) fn mind_policy(&mut self) {
+        let Some(policed) = &mut self.policy else { return };
+        let acting = policed.holder.acting(monotonic());
+        if acting == policed.acting {
+            return;
+        }
+        let before = std::mem::replace(&mut policed.acting, acting);
+        let mut settings = match policed.holder.settings(acting, &policed.base) {
+            Ok(settings) => settings,
+            Err(why) => return error!("a policy that was found to fit does not: {why}"),
+        };
+        policed.laid.lay(policed.holder.policy(acting));
+        if let Some(fresh) = self.settings.get("FamilyInfo.FreshStart") {
+            settings.insert("FamilyInfo.FreshStart".into(), fresh.clone());
+        }
+        self.settings = settings;
+        self.counters.policies += 1;
+        info!(before = format!("{before:?}"), acts = format!("{acting:?}"), in_hand = self.hand.len(); "policy: acts on {acting:?}, before on {before:?}");
+        self.switch();
+    }
+
+    /// A new module under the settings as they are takes up all that the former one had.
+    fn switch(&mut self) {
+        let Some(former) = self.shedder.take() else { return };
+        let (seed, settings, learnt) = (self.seed, self.settings.clone(), former.learnt());
+        match catch_unwind(|| Shedder::start(learnt.born, seed, settings)) {
+            Ok(Ok((mut shedder, mut decided))) => {
+                shedder.take_up(learnt);
+                shedder.believe(self.beliefs.clone());
+                let mut numbers: Vec<(u64, usize)> = self
+                    .hand
+                    .all()
+                    .into_iter()
+                    .filter_map(|inv| Some((self.hand.look(inv)?.place, inv)))
+                    .collect();
+                numbers.sort_unstable();
+                for (_, inv) in numbers {
+                    if let Some(it) = former.invocation(inv) {
+                        shedder.carry_on(inv, it.clone());
+                    }
+                }
+                decided.health = decided.health.filter(|good| *good != self.healthy);
+                self.shedder = Some(shedder);
+                self.carry_out(decided);
+            }
+            _ => {
+                error!("the module does not start under another policy: it goes on under the former one");
+                self.shedder = Some(former);
+            }
+        }
+    }
+}
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -11,8 +11,9 @@
 use std::time::Duration;
 
 use log::{error, info, warn};
+use merlinshelf_dependencies::Dependencies;
 use merlinshelf_handover::keeper::{Patience, Progress, Step};
-use merlinshelf_handover::{Heir, Image, Keeper, Role, Word, heir};
+use merlinshelf_handover::{Heir, Image, Keeper, Key, Role, Word, heir, records};
 use merlinshelf_protocol::control::Word as ControlWord;
 use serde_json::json;
 use tokio::runtime::Builder;
@@ -32,7 +33,7 @@
 use crate::learning::Learning;
 use crate::logger;
 use crate::operator::Operator;
-use crate::routing::{self, Routing};
+use crate::routing::{self, LaidOver, Routing};
 use crate::server;
 use crate::upgrade::channel::Channel;
 use crate::upgrade::guard::Guard;
@@ -117,6 +118,10 @@
     learning: Option<Learning>,
     /// None where the operators name no dependencies.
     routing: Option<routing::Shared>,
+    /// As the operators' file has them.
+    dependencies: Rc<RefCell<Option<Dependencies>>>,
+    /// A fresh start that waits to hear which policy holds, and until when.
+    waiting: Option<(Prepared, Instant)>,
     leaving: Option<Leaving>,
     // towards a successor
     keeper: Keeper,
@@ -179,6 +184,8 @@
                 .dependencies
                 .clone()
                 .map(|of| Rc::new(RefCell::new(Routing::new(of, &config.name, config.seed)))),
+            dependencies: Rc::new(RefCell::new(operator.dependencies.clone())),
+            waiting: None,
             config,
             operator,
             began: Instant::now(),
@@ -204,7 +211,7 @@
     }
 
     /// The status that the process ends with.
-    async fn run(mut self, exchange: Exchange) -> io::Result<i32> {
+    async fn run(mut self, mut exchange: Exchange) -> io::Result<i32> {
         if self.heir.is_none() {
             if let Some(settings) = &self.operator.control
                 && control::is_taken(&settings.socket)
@@ -214,8 +221,14 @@
             }
             let listener = server::listen(self.config.listen)?;
             info!("{} listens on {}", self.config.name, self.config.listen);
-            self.instance = Some(self.set_going(Prepared::fresh(exchange, listener)));
-            self.learn();
+            self.hold_policy(&mut exchange).map_err(io::Error::other)?;
+            let prepared = Prepared::fresh(exchange, listener);
+            match &self.operator.policy {
+                Some(policy) => {
+                    self.waiting = Some((prepared, Instant::now() + Duration::from_millis(policy.wait_ms)));
+                }
+                None => self.begin(prepared),
+            }
             self.open_control()?;
         }
         let status = loop {
@@ -243,6 +256,7 @@
     async fn next_event(&mut self) -> Event {
         let wake = [self.keeper.wake_at(), self.heir.as_ref().and_then(Heir::wake_at)];
         let wake = wake.into_iter().flatten().min().map(|at| self.began + at);
+        let wake = wake.into_iter().chain(self.waiting.as_ref().map(|(_, until)| *until)).min();
         let Host { leaving, guard, cut, elder, passing, requests, signals, .. } = self;
         let (guard, elder) = (guard.as_ref(), elder.as_ref());
         select! {
@@ -328,6 +342,7 @@
                 let _ = passed.send(());
             }
             Event::Woken => {
+                self.begin_waiting();
                 self.keeper.woken(now);
                 if let Some(heir) = &mut self.heir {
                     heir.woken(now);
@@ -346,6 +361,9 @@
     }
 
     fn told_to_leave(&mut self) -> Option<i32> {
+        if let Some((prepared, _)) = self.waiting.take() {
+            self.begin(prepared); // whatever came meanwhile is answered
+        }
         let stop = monotonic() + self.config.stop.as_secs_f64();
         match &mut self.heir {
             Some(heir) if heir.owns() => heir.left(stop),
@@ -518,7 +536,7 @@
         if let Ok((later, _)) = load(&self.start.config) {
             self.peers = later.peers; // SIGHUP may have come meanwhile
         }
-        let prepared = self.prepare(&image, passed, learnt)?;
+        let prepared = self.prepare(&image, passed, learnt, true)?;
         let (edges, lines, hand) = prepared.sums();
         let broken = prepared.broken;
         let instance = self.set_going(prepared);
@@ -549,7 +567,7 @@
         io::Read::read_to_end(&mut &file, &mut bytes)?;
         let mut image = Image::default();
         image.apply(&bytes).map_err(|why| io::Error::other(why.to_string()))?;
-        let prepared = self.prepare(&image, passed, None)?;
+        let prepared = self.prepare(&image, passed, None, false)?;
         prepared.note(Journal::new(journal), self.passing.0.clone());
         Ok(prepared)
     }
@@ -559,11 +577,19 @@
         image: &Image,
         mut passed: Passed,
         learnt: Option<merlinshelf::Learnt>,
+        takes_back: bool,
     ) -> io::Result<Prepared> {
         let listener = passed.remove(&Role::Listener).ok_or_else(|| io::Error::other("no listener came"))?;
         let listener = std::net::TcpListener::from(listener);
         listener.set_nonblocking(true)?;
-        let exchange = Exchange::of(&self.config).map_err(io::Error::other)?;
+        let mut exchange = Exchange::of(&self.config).map_err(io::Error::other)?;
+        self.hold_policy(&mut exchange).map_err(io::Error::other)?;
+        let instance: Option<records::Instance> = image.get(Key::Instance);
+        match instance.filter(|_| !takes_back) {
+            Some(instance) => exchange.take_policy(&instance.policy),
+            // What its successor held may be fenced by now: it holds nothing until its agent says so.
+            None => exchange.begin_without_policy(),
+        }
         Prepared::carried(exchange, server::listening(listener)?, image, passed, learnt)
     }
 
@@ -606,10 +632,12 @@
         match Operator::load(self.start.operator.as_deref()) {
             Ok(Operator { dependencies: Some(wanted), .. }) => {
                 let count = wanted.dependencies.len();
+                *self.dependencies.borrow_mut() = Some(wanted.clone());
                 routing.borrow_mut().replace(wanted);
                 if let Some(instance) = &self.instance {
                     let parts = |operation: &str| routing.borrow().parts(operation);
                     instance.exchange.borrow_mut().set_parts(parts);
+                    instance.exchange.borrow().lay_again();
                 }
                 info!("dependencies read anew: {count} of them");
             }
@@ -620,6 +648,34 @@
         }
     }
 
+    /// Switches the policy for all on, where the operators' file does.
+    fn hold_policy(&self, exchange: &mut Exchange) -> Result<(), String> {
+        let Some(policy) = &self.operator.policy else { return Ok(()) };
+        let laid = LaidOver { own: self.dependencies.clone(), routing: self.routing.clone() };
+        exchange.hold_policy(policy, Box::new(laid))
+    }
+
+    /// Takes the first invocations.
+    fn begin(&mut self, prepared: Prepared) {
+        self.instance = Some(self.set_going(prepared));
+        self.learn();
+    }
+
+    /// The same, once it is heard which policy holds, or nobody has said so in time.
+    fn begin_waiting(&mut self) {
+        let late = |until: &Instant| Instant::now() >= *until;
+        let began = |prepared: &Prepared| prepared.exchange().borrow().policy_began();
+        if let Some((prepared, until)) =
+            self.waiting.take_if(|(prepared, until)| late(until) || began(prepared))
+        {
+            if late(&until) && !began(&prepared) {
+                warn!("no agent says which policy holds: {} begins without a lease", self.config.name);
+                prepared.exchange().borrow_mut().begin_without_policy();
+            }
+            self.begin(prepared);
+        }
+    }
+
     fn set_going(&self, prepared: Prepared) -> Instance {
         prepared.go(&self.config, self.peers, self.routing.clone(), self.operator.uwsgi)
     }
@@ -666,6 +722,15 @@
                     json!({ "text": "an instance listens here, not an agent" }),
                 ));
             }
+            Asked::Policy(beat, reply) => {
+                let exchange = match (&self.instance, &self.waiting) {
+                    (Some(instance), _) => Some(instance.exchange.clone()),
+                    (None, Some((prepared, _))) => Some(prepared.exchange().clone()),
+                    (None, None) => None,
+                };
+                _ = reply.send(exchange.and_then(|exchange| exchange.borrow_mut().policy_heard(beat)));
+                self.begin_waiting();
+            }
             Asked::Forget(origin, reply) => {
                 _ = reply.send(self.learning.as_mut().map(|learning| learning.forget(origin.as_deref())));
             }
@@ -740,6 +805,10 @@
             "descriptors": descriptors,
             "learning": self.learning.as_ref().map(Learning::status),
             "dependencies": self.routing.as_ref().map(|routing| routing.borrow().report()),
+            "policy": exchange.as_ref().and_then(|exchange| exchange.policy_said()).map(|said| json!({
+                "acts": said.acts, "left_s": said.left_s, "fenced": said.fenced, "knows": said.knows,
+                "unfit": said.unfit, "base": format!("{:016x}", said.base),
+            })),
             "counters": exchange.as_ref().map(|exchange| exchange.counters.by_name()),
         })
     }
--- a/crates/merlinshelf-backend/src/instance.rs
+++ b/crates/merlinshelf-backend/src/instance.rs
@@ -157,6 +157,10 @@
         self.exchange.borrow_mut().note(journal, passing);
     }
 
+    pub fn exchange(&self) -> &Shared {
+        &self.exchange
+    }
+
     /// How many connections of edge nodes, calls below and invocations go on.
     pub fn sums(&self) -> (usize, usize, usize) {
         (self.edges.len(), self.lines.len(), self.exchange.borrow().in_hand())
--- a/crates/merlinshelf-backend/src/operator.rs
+++ b/crates/merlinshelf-backend/src/operator.rs
@@ -7,6 +7,7 @@
 use garde::Validate;
 use log::LevelFilter;
 use merlinshelf_dependencies::Dependencies;
+use merlinshelf_policy::{Policy, Without};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +35,35 @@
     /// catalogue. Read anew with SIGHUP.
     #[garde(inner(custom(holds_together)))]
     pub dependencies: Option<Dependencies>,
+    /// One policy for all instances of an installation, changed in service by its agents; absent: off.
+    #[garde(dive)]
+    pub policy: Option<PolicyOf>,
+}
+
+/// How an instance takes part in the policy for all.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicyOf {
+    /// What is served by without a lease: the same for the whole installation, for good.
+    #[garde(dive)]
+    pub base: Policy,
+    /// What is done without a lease.
+    #[garde(skip)]
+    pub without: Without,
+    /// How much clocks of two processes may run apart, as a part: leases are held shorter by it, and waited for longer.
+    #[garde(range(min = 0.0, max = 0.2))]
+    #[schemars(range(min = 0.0, max = 0.2))]
+    pub drift: f64,
+    /// How long an instance that starts waits to hear which policy holds, before it serves without, in milliseconds.
+    #[garde(range(max = 600_000))]
+    #[schemars(range(max = 600_000))]
+    pub wait_ms: u64,
+}
+
+impl Default for PolicyOf {
+    fn default() -> PolicyOf {
+        PolicyOf { base: Policy::default(), without: Without::default(), drift: 0.02, wait_ms: 5_000 }
+    }
 }
 
 /// The control socket.
--- a/crates/merlinshelf-backend/src/routing.rs
+++ b/crates/merlinshelf-backend/src/routing.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use merlinshelf_dependencies::{Ask, Dependencies, Effect, End, Ended, Report, Router, Step};
+use merlinshelf_policy::Policy;
 use merlinshelf_protocol::CallId;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -32,6 +33,27 @@
 
 pub type Shared = Rc<RefCell<Routing>>;
 
+/// The operators' dependencies, and the policy that is laid over them.
+pub struct LaidOver {
+    /// As the operators' file has them.
+    pub own: Rc<RefCell<Option<Dependencies>>>,
+    pub routing: Option<Shared>,
+}
+
+impl exchange::Laid for LaidOver {
+    fn fits(&self, policy: &Policy) -> Result<(), String> {
+        policy.dependencies(self.own.borrow().as_ref()).map(|_| ())
+    }
+
+    fn lay(&self, policy: &Policy) {
+        if let (Some(routing), Ok(Some(wanted))) =
+            (&self.routing, policy.dependencies(self.own.borrow().as_ref()))
+        {
+            routing.borrow_mut().replace(wanted);
+        }
+    }
+}
+
 impl Routing {
     pub fn new(wanted: Dependencies, name: &str, seed: u64) -> Routing {
         Routing {
--- a/crates/merlinshelf-cli/src/fleet.rs
+++ b/crates/merlinshelf-cli/src/fleet.rs
@@ -22,10 +22,10 @@
 pub struct Agent {
     /// The agent's socket: `agent` in the folder that the fleet's file names
     #[arg(long, value_name = "SOCKET", env = "MERLINSHELF_AGENT", value_hint = ValueHint::FilePath, global = true, default_value = "/var/lib/merlinshelf/fleet/agent")]
-    agent: PathBuf,
+    pub agent: PathBuf,
     /// Print JSON, one object a line
     #[arg(long, global = true)]
-    json: bool,
+    pub json: bool,
 }
 
 /// Whom it means; all where nothing is named.
@@ -134,6 +134,11 @@
     Abandon,
     /// Read the fleet's file anew
     Apply,
+    /// The policy that holds for all instances of all agents
+    Policy {
+        #[command(subcommand)]
+        what: crate::policy::Policy,
+    },
     /// Print what happened
     History {
         #[arg(long, default_value_t = 50)]
@@ -194,6 +199,7 @@
         Fleet::Abandon => simple(agent, &plain("abandon")),
         Fleet::Apply => simple(agent, &plain("apply")),
         Fleet::Plan => change(agent, &plain("plan"), false),
+        Fleet::Policy { what } => crate::policy::run(agent, what),
         Fleet::History { lines } => history(agent, *lines),
         Fleet::Watch => watch(agent),
     }
@@ -205,7 +211,7 @@
 }
 
 /// All that is said until the last word.
-fn ask(
+pub fn ask(
     agent: &Path,
     body: &Value,
     within: Duration,
@@ -315,11 +321,21 @@
 fn all(agent: &Path, body: &Value) -> io::Result<(Vec<Value>, (Word, Value))> {
     let mut instances = Vec::new();
     let last = ask(agent, body, WITHIN, |page| {
+        for one in page["others"].as_array().into_iter().flatten() {
+            let mut one = one.clone();
+            one["agent"] = page["agent"].clone();
+            one["name"] = json!(format!("{}/{}", text_of(&page["agent"]), text_of(&one["name"])));
+            instances.push(one);
+        }
         instances.extend(page["instances"].as_array().into_iter().flatten().cloned());
     })?;
     Ok((instances, last))
 }
 
+fn text_of(value: &Value) -> &str {
+    value.as_str().unwrap_or("")
+}
+
 fn status(agent: &Agent, body: &Value) -> ExitCode {
     match all(&agent.agent, body) {
         Ok((instances, last)) => {
--- a/crates/merlinshelf-cli/src/main.rs
+++ b/crates/merlinshelf-cli/src/main.rs
@@ -11,6 +11,7 @@
 mod check;
 mod fleet;
 mod knowledge;
+mod policy;
 mod remote;
 
 use std::path::PathBuf;
--- a/crates/merlinshelf-council/src/council.rs
+++ b/crates/merlinshelf-council/src/council.rs
@@ -331,7 +331,9 @@
                 if let Some(id) = seat {
                     // Kept for this very ticket: an empty member that is sent all there is.
                     self.seat = Some((id, 1));
-                    self.steps.push_back(Step::KeepAnew(vec![Record::Seat { id, life: 1 }]));
+                    let mut records = self.met_records();
+                    records.push(Record::Seat { id, life: 1 });
+                    self.steps.push_back(Step::KeepAnew(records));
                     if self.sit(Shelf::default()).is_ok() {
                         self.standing = Standing::Sitting;
                     }
@@ -366,7 +368,7 @@
         self.ticket = self.ticket.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F);
         (self.applied, self.ticks) = (0, 0);
         self.welcomed.clear();
-        self.steps.push_back(Step::KeepAnew(Vec::new()));
+        self.steps.push_back(Step::KeepAnew(self.met_records()));
     }
 
     /// Enough others know of no later life of this seat.
@@ -427,11 +429,9 @@
         shelf.put(snapshot.clone());
         shelf.hard = HardState { term: 1, vote: 0, commit: FOUNDED_AT, ..HardState::default() };
         self.seat = Some((id, 1));
-        self.steps.push_back(Step::KeepAnew(vec![
-            Record::Seat { id, life: 1 },
-            snapshot_record(&snapshot),
-            hard_record(&shelf.hard),
-        ]));
+        let mut records = self.met_records();
+        records.extend([Record::Seat { id, life: 1 }, snapshot_record(&snapshot), hard_record(&shelf.hard)]);
+        self.steps.push_back(Step::KeepAnew(records));
         if self.sit(shelf).is_ok() {
             self.standing = Standing::Sitting;
         }
@@ -506,6 +506,11 @@
         waiting.into_iter().for_each(|id| node.report_snapshot(id, SnapshotStatus::Failure));
     }
 
+    fn met_records(&self) -> Vec<Record> {
+        let all = self.met.iter();
+        all.map(|(id, (life, ticket))| Record::Met { id: *id, life: *life, ticket: *ticket }).collect()
+    }
+
     /// Takes the state of whoever uses the log, as of all that was applied by now, in place of a long log.
     pub fn compact(&mut self, state: Vec<u8>) {
         let (Some(seat), Some(node)) = (self.seat, &mut self.node) else { return };
@@ -522,12 +527,8 @@
         shelf.put(snapshot);
         self.joined = false;
         let mut records = vec![Record::Seat { id: seat.0, life: seat.1 }];
-        records.extend(self.met.iter().map(|(id, (life, ticket))| Record::Met {
-            id: *id,
-            life: *life,
-            ticket: *ticket,
-        }));
         records.extend(shelf.records());
+        records.extend(self.met_records());
         self.steps.push_back(Step::KeepAnew(records));
     }
 
--- a/crates/merlinshelf-fleet/src/fit.rs
+++ b/crates/merlinshelf-fleet/src/fit.rs
@@ -52,6 +52,11 @@
             }
         }
     }
+    if let Some(council) = &wanted.council
+        && !council.agents.contains_key(&council.name)
+    {
+        whys.push(format!("council.agents: {} itself is not among them", council.name));
+    }
     let second = u64::from(wanted.change.out_at_once);
     let (memory_all, descriptors_all) =
         (memory + second * largest_memory, descriptors + second * largest_descriptors);
--- a/crates/merlinshelf-fleet/src/wanted.rs
+++ b/crates/merlinshelf-fleet/src/wanted.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use garde::Validate;
+use merlinshelf_policy::{Policy, Without};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -27,11 +28,80 @@
     #[garde(dive)]
     #[serde(default)]
     pub restarts: Restarts,
+    /// Other agents, with which this one decides on the policy for all; absent: there is none (docs/policy.md).
+    #[garde(dive)]
+    #[serde(default)]
+    pub council: Option<CouncilOf>,
     /// The groups by name.
     #[garde(dive, custom(names))]
     pub groups: BTreeMap<String, Group>,
 }
 
+/// The agents that decide together, and what they agree on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct CouncilOf {
+    /// Which of the agents this one is.
+    #[garde(length(min = 1, max = 40))]
+    pub name: String,
+    /// Where this one listens to the others: on the loopback interface, since nothing is encrypted yet.
+    #[garde(custom(loopback))]
+    pub listen: String,
+    /// All agents by name, this one among them, and where each is reached.
+    #[garde(length(min = 1, max = 9), custom(all_loopback))]
+    pub agents: BTreeMap<String, String>,
+    /// How long a lease on a policy is, in milliseconds: a change waits so long for who does not answer, and who is cut off
+    /// acts on the former policy for so long at the most. Agreed once for the installation.
+    #[garde(range(min = 500, max = 600_000))]
+    #[serde(default = "lease")]
+    pub lease_ms: u64,
+    /// How much clocks of two processes may run apart, as a part.
+    #[garde(range(min = 0.0, max = 0.2))]
+    #[serde(default = "drift")]
+    pub drift: f64,
+    /// What instances are served by without a lease. Agreed once for the installation.
+    #[garde(dive)]
+    #[serde(default)]
+    pub base: Policy,
+    /// What instances do without a lease.
+    #[garde(skip)]
+    #[serde(default)]
+    pub without: Without,
+    /// How long service is watched after a change and compared with before, in milliseconds; 0: not at all.
+    #[garde(range(max = 60_000))]
+    #[serde(default)]
+    pub watch_ms: u64,
+    /// By how much the served share may be worse; then the former policy is brought back.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(default = "worse")]
+    pub worse: f64,
+}
+
+fn lease() -> u64 {
+    2_000
+}
+
+fn drift() -> f64 {
+    0.02
+}
+
+fn worse() -> f64 {
+    0.05
+}
+
+fn loopback(text: &str, (): &()) -> garde::Result {
+    match text.parse::<std::net::SocketAddr>() {
+        Ok(address) if address.ip().is_loopback() && address.port() > 0 => Ok(()),
+        _ => Err(garde::Error::new(format!(
+            "{text:?} is no loopback address with a port, like 127.0.0.1:7700"
+        ))),
+    }
+}
+
+fn all_loopback(agents: &BTreeMap<String, String>, (): &()) -> garde::Result {
+    agents.values().try_for_each(|address| loopback(address, &()))
+}
+
 /// Room for instances; nothing starts that does not fit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -32,6 +32,8 @@
     pub learnt: Option<Learnt>,
     /// What is known of the servers behind and from whom, in the form of its file (`merlinshelf-knowledge`).
     pub knowledge: ByteBuf,
+    /// The lease on a policy and the documents (`merlinshelf-policy`), for a successor alone: empty in what is noted.
+    pub policy: ByteBuf,
 }
 
 /// The engine's link.
--- a/crates/merlinshelf-protocol/src/control.rs
+++ b/crates/merlinshelf-protocol/src/control.rs
@@ -8,10 +8,12 @@
 use winnow::combinator::{alt, preceded, terminated};
 use winnow::{ModalResult, Parser};
 
-use crate::{BODY_MOST, Buffer, Bytes, Fault, Front, LINE_MOST, body, front, line, put, within};
+use crate::{BODY_MOST, Buffer, Bytes, Fault, Front, LINE_MOST, body_up_to, front, line, put, within};
 
 /// The form that is spoken here.
 pub const FORM: u32 = 1;
+/// The longest word of an agent to another: a snapshot of what they have decided.
+pub const COUNCIL_MOST: usize = 4 * 1024 * 1024;
 
 /// What may be asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +27,10 @@
     Forget,
     /// What the body says is for the agent of a fleet.
     Fleet,
+    /// A beat of the host's agent: what to act on, and how long (`merlinshelf-policy`).
+    Policy,
+    /// What one agent says to another, in MessagePack; nothing is said to it on the same connection.
+    Council,
 }
 
 /// How far what was asked for has come.
@@ -48,6 +54,8 @@
             Question::Knowledge => "knowledge",
             Question::Forget => "forget",
             Question::Fleet => "fleet",
+            Question::Policy => "policy",
+            Question::Council => "council",
         }
     }
 }
@@ -72,8 +80,21 @@
         "knowledge".value(Question::Knowledge),
         "forget".value(Question::Forget),
         "fleet".value(Question::Fleet),
+        "policy".value(Question::Policy),
+        "council".value(Question::Council),
     ));
-    message(input, "ask ", words, Fault("unreadable question"))
+    message(input, "ask ", words, BODY_MOST, Fault("unreadable question"))
+}
+
+/// Reads a question that one agent sends another off the front; its body may hold a part of their log.
+pub fn council(input: &[u8]) -> Front<(u32, Question, &[u8])> {
+    message(
+        input,
+        "ask ",
+        "council".value(Question::Council),
+        COUNCIL_MOST,
+        Fault("unreadable word of an agent"),
+    )
 }
 
 /// Reads what is said off the front: its form, the word and its body.
@@ -84,13 +105,14 @@
         "failed".value(Word::Failed),
         "refused".value(Word::Refused),
     ));
-    message(input, "say ", words, Fault("unreadable answer"))
+    message(input, "say ", words, BODY_MOST, Fault("unreadable answer"))
 }
 
 fn message<'i, T>(
     input: &'i [u8],
     first: &'static str,
     mut words: impl Parser<&'i [u8], T, winnow::error::ErrMode<winnow::error::ContextError>>,
+    most: usize,
     fault: Fault,
 ) -> Front<(u32, T, &'i [u8])> {
     let whole = |input: &mut Bytes<'i>| -> ModalResult<(u32, T, &'i [u8])> {
@@ -101,9 +123,9 @@
             dec_uint::<_, usize, _>,
         );
         let (form, word, length) = within(text, fields.by_ref())?;
-        Ok((form, word, body(length)(input)?))
+        Ok((form, word, body_up_to(length, most)(input)?))
     };
-    front(input, LINE_MOST + BODY_MOST, fault, whole)
+    front(input, LINE_MOST + most, fault, whole)
 }
 
 pub fn ask(out: &mut impl Buffer, question: Question, body: &[u8]) {
--- a/crates/merlinshelf-protocol/src/lib.rs
+++ b/crates/merlinshelf-protocol/src/lib.rs
@@ -110,8 +110,13 @@
 
 /// The bytes that a line's last word announced, and their CR LF.
 fn body<'i>(length: usize) -> impl FnMut(&mut Bytes<'i>) -> ModalResult<&'i [u8]> {
+    body_up_to(length, BODY_MOST)
+}
+
+/// The same, with another bound.
+fn body_up_to<'i>(length: usize, most: usize) -> impl FnMut(&mut Bytes<'i>) -> ModalResult<&'i [u8]> {
     move |input| {
-        if length > BODY_MOST {
+        if length > most {
             return Err(ErrMode::Cut(ContextError::new()));
         }
         terminated(take(length), "\r\n").parse_next(input)
--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -527,10 +527,11 @@
             };
             let work: f64 = self.all(|_| true).map(ahead).sum();
             let full = self.on_cores() as f64 >= self.for_runs();
+            let never = self.ops[it.told.operation].objective == 0.0; // switched off by the operators
             let like = |one: &Inv| one.stage == Stage::Running && one.told.operation == it.told.operation;
             let tried = self.first(like).is_some();
             let wait = if full { work / self.for_runs() } else { 0.0 };
-            (full || !it.told.again && tried) && self.now + wait + self.whole_time(it) > it.by
+            never || (full || !it.told.again && tried) && self.now + wait + self.whole_time(it) > it.by
         })
     }
 
