Trial of one policy for all: hosts, links that fail, and a checker that reads clients alone

Need: the promises are checked from outside, between real processes with faults between them. Each policy of the trial lets in one of three signs, so that an answer shows by which policy it was admitted.

--- a/crates/merlinshelf-agent/src/policy.rs
+++ b/crates/merlinshelf-agent/src/policy.rs
@@ -274,10 +274,7 @@
                 (None, None) => {}
             }
         }
-        loop {
-            let Some(step) = self.conductor.as_mut().and_then(|(conductor, _)| conductor.next_step()) else {
-                break;
-            };
+        while let Some(step) = self.conductor.as_mut().and_then(|(conductor, _)| conductor.next_step()) {
             did = true;
             match step {
                 Step::Confirm(number) => self.seat.confirm(now, number),
--- a/crates/merlinshelf-backend/src/operator.rs
+++ b/crates/merlinshelf-backend/src/operator.rs
@@ -387,6 +387,8 @@
             "{learning: {peers: {listen: '127.0.0.1:0'}}}",
             "{dependencies: {dependencies: {a: {servers: [], instead: 'b'}}, operations: {page: {calls: [{to: 'x'}]}}}}",
             "{dependencies: {dependencys: {}}}",
+            "{policy: {without: 'nothing'}}",
+            "{policy: {drift: 0.5, base: {tenants: {a: 0.7, b: 0.7}}}}",
         ];
         let read = texts.map(|text| Operator::read(text).err().unwrap_or_default());
         insta::assert_snapshot!(read.join("\n"));
--- a/crates/merlinshelf-fleet/tests/fleet.rs
+++ b/crates/merlinshelf-fleet/tests/fleet.rs
@@ -74,6 +74,7 @@
             worse: 0.02,
         },
         restarts: Restarts::default(),
+        council: None,
         groups: BTreeMap::from([("web".to_owned(), group(count, 7000))]),
     }
 }
--- a/crates/merlinshelf-lab/src/lib.rs
+++ b/crates/merlinshelf-lab/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod demo;
 pub mod disk;
 pub mod fleet;
+pub mod installation;
 pub mod instance;
+pub mod link;
 pub mod load;
 pub mod script;
 pub mod stand_in;
--- /dev/null
+++ b/crates/merlinshelf-lab/src/link.rs
@@ -0,0 +1,113 @@
+//! Links between processes under trial, each through a forwarder that does to it what a schedule says: both ways alike or one way
+//! alone, and heals.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::select;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// What happens to what is sent over a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Connections stay open, and what is sent lies until the link heals: it then arrives, however old.
+    Held,
+    /// All connections end, and new ones are closed at once.
+    Cut,
+    /// Each piece comes so much later.
+    Late(Duration),
+    /// Byte by byte, with a pause after each.
+    Trickles(Duration),
+}
+
+/// A link from one process to another; it ends with its owner.
+pub struct Link {
+    fault: watch::Sender<Fault>,
+    /// Connections that were made over it.
+    pub made: Rc<RefCell<u64>>,
+}
+
+impl Link {
+    /// Takes connections at one address and passes them on to another.
+    ///
+    /// # Errors
+    /// The address can't be had.
+    pub async fn start(listen: &str, to: String) -> io::Result<Link> {
+        let listener = TcpListener::bind(listen).await?;
+        let (fault, watched) = watch::channel(Fault::None);
+        let made: Rc<RefCell<u64>> = Rc::default();
+        let count = made.clone();
+        spawn_local(async move {
+            while let Ok((from, _)) = listener.accept().await {
+                if watched.has_changed().is_err() {
+                    return; // its owner is gone
+                }
+                if *watched.borrow() == Fault::Cut {
+                    continue;
+                }
+                *count.borrow_mut() += 1;
+                spawn_local(pass(from, to.clone(), watched.clone()));
+            }
+        });
+        Ok(Link { fault, made })
+    }
+
+    pub fn set(&self, fault: Fault) {
+        self.fault.send_replace(fault);
+    }
+
+    pub fn fault(&self) -> Fault {
+        *self.fault.borrow()
+    }
+}
+
+async fn pass(from: TcpStream, to: String, mut fault: watch::Receiver<Fault>) {
+    let Ok(to) = TcpStream::connect(to).await else { return };
+    let _ = (from.set_nodelay(true), to.set_nodelay(true));
+    let ((from_in, from_out), (to_in, to_out)) = (from.into_split(), to.into_split());
+    let (one, other) = (copy(from_in, to_out, fault.clone()), copy(to_in, from_out, fault.clone()));
+    select! {
+        _ = one => {}
+        _ = other => {}
+        _ = fault.wait_for(|fault| *fault == Fault::Cut) => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut fault: watch::Receiver<Fault>,
+) -> io::Result<()> {
+    let mut piece = [0; 16 * 1024];
+    loop {
+        let count = from.read(&mut piece).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        let now = *fault.borrow_and_update();
+        match now {
+            Fault::Late(by) => sleep(by).await,
+            Fault::Trickles(pause) => {
+                for byte in &piece[..count] {
+                    to.write_all(std::slice::from_ref(byte)).await?;
+                    sleep(pause).await;
+                }
+                continue;
+            }
+            Fault::Held => {
+                let _ = fault.wait_for(|fault| *fault != Fault::Held).await;
+            }
+            Fault::None | Fault::Cut => {}
+        }
+        to.write_all(&piece[..count]).await?;
+    }
+}
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -91,6 +91,33 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// One change of policy a round for all instances of several agents, with faults between the processes by seed
+    #[command(after_help = "Example:\n  merlinshelf-lab trial policy --seed 28 --rounds 20")]
+    Policy {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds are played, from this one on
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Changes in each seed
+        #[arg(long, default_value_t = 13)]
+        rounds: u32,
+        #[arg(long, default_value_t = 3)]
+        agents: u8,
+        /// Instances of each agent
+        #[arg(long, default_value_t = 4)]
+        instances: u16,
+        #[arg(long, default_value_t = 1000)]
+        lease_ms: u64,
+        /// Invocations a second to each instance
+        #[arg(long, default_value_t = 30.0)]
+        rate: f64,
+        /// This fault in every round, instead of by seed
+        #[arg(long, value_enum)]
+        only: Option<trial::policy::Trouble>,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Two dependencies of five servers each that fail by script, against plain ways to call them; many instances in virtual time
     #[command(after_help = "Example:\n  merlinshelf-lab trial dependencies --seed 19")]
     Dependencies {
@@ -240,6 +267,15 @@
             let plan = trial::fleet::Plan { seed, seeds, instances, rate, kills, kill_instances, program };
             local.block_on(&runtime, trial::fleet::run(&plan)).map(|(_, clean)| clean)
         }
+        Command::Trial {
+            trial: Trial::Policy { seed, seeds, rounds, agents, instances, lease_ms, rate, only, program },
+        } => {
+            let program = std::fs::canonicalize(found(program)?)?;
+            let made =
+                merlinshelf_lab::installation::Made { hosts: agents, instances, lease_ms, watch_ms: 0 };
+            let plan = trial::policy::Plan { seed, seeds, rounds, made, rate, program, only };
+            local.block_on(&runtime, trial::policy::run(&plan)).map(|(_, clean)| clean)
+        }
         Command::Trial {
             trial: Trial::Learning { seed, seeds, at_once, fleets, costs, crashes, program },
         } => {
--- a/crates/merlinshelf-lab/src/trial/mod.rs
+++ b/crates/merlinshelf-lab/src/trial/mod.rs
@@ -4,6 +4,7 @@
 pub mod dependencies;
 pub mod fleet;
 pub mod learning;
+pub mod policy;
 pub mod restart;
 pub mod upgrade;
 pub mod uwsgi;
