Hard cases of one policy for all between real processes; the log is kept beside the agent's loop

Seen: under load the agents' loops stood still for seconds while the log was synced, so that leases ended; a beat to an instance that is frozen for its successor was answered as if policies were off, and refused a change. Now a thread keeps the log and no step behind it is carried out before, and who is frozen does not answer. What was agreed at the founding counts against every file.

--- a/crates/merlinshelf-agent/src/policy.rs
+++ b/crates/merlinshelf-agent/src/policy.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
 
-use crate::council::{Came, Seat};
+use crate::council::{Came, Kept, Seat};
 use crate::links::{Links, Peer};
 use crate::talk::Talk;
 
@@ -46,6 +46,7 @@
 pub enum Happened {
     Peer(String, Peer),
     Beat(String, Result<Said, Option<String>>),
+    Kept(Kept),
 }
 
 pub struct PolicyAgent {
@@ -65,6 +66,7 @@
     complained: Option<Founding>,
     pub happened: (UnboundedSender<Happened>, UnboundedReceiver<Happened>),
     peers: UnboundedReceiver<(String, Peer)>,
+    kept: UnboundedReceiver<Kept>,
 }
 
 impl PolicyAgent {
@@ -73,12 +75,13 @@
     pub async fn begin(of: &CouncilOf, folder: &Path, life: u64) -> std::io::Result<PolicyAgent> {
         let (heard, peers) = unbounded_channel();
         let links = Links::open(&of.name, &of.listen, &of.agents, heard).await?;
+        let (tell, kept) = unbounded_channel();
         let base = of.base.fingerprint();
         // Clocks that run apart are played by one that does.
         let rate = std::env::var("MERLINSHELF_CLOCK_RATE").ok().and_then(|text| text.parse().ok());
         Ok(PolicyAgent {
             founding: Founding { lease_ms: of.lease_ms, base },
-            seat: Seat::new(&of.name, &of.agents, folder, life),
+            seat: Seat::new(&of.name, &of.agents, folder, life, tell),
             links,
             warden: Warden::new(&of.name, life, base, of.drift),
             conductor: None,
@@ -91,6 +94,7 @@
             complained: None,
             happened: unbounded_channel(),
             peers,
+            kept,
             of: of.clone(),
         })
     }
@@ -99,6 +103,7 @@
     pub async fn next(&mut self) -> Happened {
         tokio::select! {
             Some((from, peer)) = self.peers.recv() => Happened::Peer(from, peer),
+            Some(kept) = self.kept.recv() => Happened::Kept(kept),
             Some(happened) = self.happened.1.recv() => happened,
             else => std::future::pending().await,
         }
@@ -127,6 +132,7 @@
                     self.standings.insert(from, (now, standing));
                 }
             }
+            Happened::Kept(kept) => self.seat.kept(now, kept),
             Happened::Beat(name, Ok(said)) => self.warden.said(now, &name, said),
             Happened::Beat(name, Err(why)) => self.warden.silent(&name, why),
         }
--- a/crates/merlinshelf-backend/src/host.rs
+++ b/crates/merlinshelf-backend/src/host.rs
@@ -728,6 +728,9 @@
                     (None, Some((prepared, _))) => Some(prepared.exchange().clone()),
                     (None, None) => None,
                 };
+                if exchange.is_none() && self.operator.policy.is_some() {
+                    return; // frozen for a successor: unanswered, which is no refusal
+                }
                 _ = reply.send(exchange.and_then(|exchange| exchange.borrow_mut().policy_heard(beat)));
                 self.begin_waiting();
             }
--- a/crates/merlinshelf-lab/src/trial/policy.rs
+++ b/crates/merlinshelf-lab/src/trial/policy.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::installation::{Changed, Installation, Made, check, evidence, out_of_order, policy_of};
+use crate::installation::{Changed, Installation, Made, check, evidence, out_of_order, policy_of, with_sign};
 use crate::instance::signal;
 use crate::link::Fault;
 
@@ -293,6 +293,43 @@
     Ok(())
 }
 
+/// The way before there was a policy for all: another file, and all are restarted one after the other. How many were decided
+/// on out of order, and how long the fleet was mixed.
+///
+/// # Errors
+/// What can't be played.
+pub async fn by_restart(plan: &Plan) -> io::Result<Value> {
+    let all = Installation::start(&plan.program, 10, &plan.made).await?;
+    let playing = all.load(plan.rate, plan.seed).await?;
+    let mut changes = vec![Changed { proposed: Instant::now(), sign: 0, held: true }];
+    sleep(Duration::from_secs(1)).await;
+    let file = all.hosts[0].folder.join("config.json");
+    let mut mixed = Vec::new();
+    for round in 1..=plan.rounds {
+        let sign = round as usize % 3;
+        std::fs::write(&file, with_sign(&std::fs::read_to_string(&file)?, sign)?)?;
+        let proposed = Instant::now();
+        all.hosts[0].ask(&json!({ "op": "restart", "wait": true })).await?;
+        changes.push(Changed { proposed, sign, held: true });
+        sleep(Duration::from_millis(500)).await;
+        let shown = evidence(&playing);
+        let first = shown.iter().find(|(sent, _, of)| *of == sign && *sent >= proposed).map(|(_, at, _)| *at);
+        let former = (sign + 2) % 3;
+        let last = shown.iter().filter(|(_, _, of)| *of == former).map(|(sent, ..)| *sent).max();
+        if let (Some(first), Some(last)) = (first, last) {
+            mixed.push(last.saturating_duration_since(first).as_secs_f64());
+        }
+    }
+    let (order, _) = out_of_order(&changes, &evidence(&playing));
+    let verdict = check(&all, playing).await;
+    let line = json!({
+        "trial": "policy", "by": "restart", "instances": plan.made.instances, "rounds": plan.rounds, "out_of_order": order,
+        "mixed_s": mixed, "sent": verdict.sent, "lost": verdict.lost,
+    });
+    println!("{line}");
+    Ok(line)
+}
+
 /// Plays all seeds; the last line, and whether the promises held.
 ///
 /// # Errors
--- a/crates/merlinshelf-policy/src/warden.rs
+++ b/crates/merlinshelf-policy/src/warden.rs
@@ -35,6 +35,7 @@
     host: String,
     life: u64,
     drift: Drift,
+    /// The fingerprint of the base policy: of the file until the installation is founded, then the agreed one.
     base: u64,
     /// None until the installation is founded.
     lease_s: Option<f64>,
@@ -77,7 +78,10 @@
 
     /// What is decided by now, as far as this host's log has it.
     pub fn decided(&mut self, now: f64, ledger: &Ledger) {
-        self.lease_s = ledger.founding.as_ref().map(|founding| founding.lease_ms as f64 / 1e3);
+        if let Some(founding) = &ledger.founding {
+            // What was agreed counts, whatever this agent's file says by now.
+            (self.lease_s, self.base) = (Some(founding.lease_ms as f64 / 1e3), founding.base);
+        }
         let (fence, before) = (ledger.fence(), self.fence);
         self.fence = self.fence.max(fence);
         self.lease = self.lease.filter(|(number, _)| *number == 0 || *number > self.fence);
--- a/crates/merlinshelf-policy/tests/parts.rs
+++ b/crates/merlinshelf-policy/tests/parts.rs
@@ -154,3 +154,34 @@
     old.heard(1.9, late, |_| Ok(()));
     assert_eq!(old.acting(1.9), Acting::Away);
 }
+
+#[test]
+fn an_instance_with_another_base_than_was_agreed_gets_no_lease_and_refuses_by_name() {
+    use merlinshelf_policy::words::{HostWord, Said};
+    use merlinshelf_policy::{Entry, Founding, Ledger, Warden};
+    let (agreed, own) = (Policy::default().fingerprint(), 7);
+    let mut ledger = Ledger::default();
+    ledger.apply(Entry::Found(Founding { lease_ms: 2000, base: agreed }));
+    let mut warden = Warden::new("h", 1, own, 0.01);
+    warden.decided(0.0, &ledger);
+    let names = ["web.0".to_owned(), "web.1".to_owned()];
+    warden.serving(0.0, names.iter());
+    let token = warden.ask(0.1).expect("it asks").token;
+    warden.granted(0.1, &HostWord { life: 1, token, granted: 0 });
+    while let Some((name, _)) = warden.next_beat(0.2) {
+        let base = if name == "web.0" { agreed } else { own };
+        warden.said(0.2, &name, Said { life: 5, base, ..Said::default() });
+        if warden.instance("web.0").is_some() && warden.instance("web.1").is_some() {
+            break;
+        }
+    }
+    let mut granted = Vec::new();
+    while let Some((name, beat)) = warden.next_beat(0.3) {
+        granted.push((name, beat.grant.is_some()));
+    }
+    assert_eq!(granted, [("web.0".to_owned(), true), ("web.1".to_owned(), false)]);
+    ledger.apply(Entry::Propose { id: "a".into(), policy: Box::default(), by: "b".into(), at: 0.0 });
+    warden.decided(0.4, &ledger);
+    let prepared = warden.prepared(0.5).expect("one refuses");
+    assert_eq!(prepared.unfit, [("web.1".to_owned(), "its base policy is another".to_owned())]);
+}
