--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -118,6 +118,9 @@
         /// The way before there was a policy for all: a new file and a restart of one after the other, on one host
         #[arg(long)]
         by_restart: bool,
+        /// Instead, what it costs by size, in virtual time
+        #[arg(long)]
+        sizes: bool,
         #[arg(long)]
         program: Option<PathBuf>,
     },
@@ -282,9 +285,14 @@
                     rate,
                     only,
                     by_restart,
+                    sizes,
                     program,
                 },
         } => {
+            if sizes {
+                let (_, held) = trial::policy_size::run();
+                return Ok(held);
+            }
             let program = std::fs::canonicalize(found(program)?)?;
             let (hosts, council) = (if by_restart { 1 } else { agents }, !by_restart);
             let made =
--- a/crates/merlinshelf-lab/src/trial/mod.rs
+++ b/crates/merlinshelf-lab/src/trial/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod learning;
 pub mod policy;
+pub mod policy_size;
 pub mod restart;
 pub mod upgrade;
 pub mod uwsgi;
