--- a/crates/merlinshelf-cli/tests/policy.rs
+++ b/crates/merlinshelf-cli/tests/policy.rs
@@ -227,6 +227,16 @@
             changes.push(Changed { proposed: at, sign: 2, held });
         }
         assert!(changes.iter().skip(1).any(|change| change.held));
+        // One agent shows the instances of all.
+        let socket = all.hosts[0].socket();
+        let socket = socket.to_str().unwrap_or_default();
+        sleep(Duration::from_millis(1200)).await;
+        let shown =
+            String::from_utf8_lossy(&run(&["fleet", "--agent", socket, "status"]).stdout).into_owned();
+        assert!(shown.contains("h1/web.0") && shown.contains("h2/web.1"), "{shown}");
+        let shown = String::from_utf8_lossy(&run(&["fleet", "--agent", socket, "policy", "show"]).stdout)
+            .into_owned();
+        assert!(shown.contains("members h0, h1, h2") && shown.contains("acts on"), "{shown}");
         // Undone: the former one holds again, by a further change.
         let undone = Instant::now();
         let (word, said) = all.hosts[1].policy("undo", json!({ "id": "back", "wait": true })).await?;
--- a/crates/merlinshelf-lab/src/instance.rs
+++ b/crates/merlinshelf-lab/src/instance.rs
@@ -50,6 +50,8 @@
     pub catalogue: Option<String>,
     /// Callers may speak uwsgi.
     pub uwsgi: bool,
+    /// It takes part in a policy for all.
+    pub policy: bool,
 }
 
 impl Setup {
@@ -74,6 +76,7 @@
             dependencies: None,
             catalogue: None,
             uwsgi: false,
+            policy: false,
         }
     }
 }
@@ -83,7 +86,7 @@
     setup: Setup,
     pub records: Shared,
     folder: PathBuf,
-    control: PathBuf,
+    pub control: PathBuf,
     child: Child,
     log: Rc<RefCell<Vec<Value>>>,
 }
@@ -168,6 +171,9 @@
             }
             operator["learning"] = learning;
         }
+        if setup.policy {
+            operator["policy"] = json!({ "wait_ms": 0 });
+        }
         if setup.uwsgi {
             operator["uwsgi"] = json!(true);
         }
--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -66,6 +66,9 @@
         pairs: u32,
         #[arg(long, default_value_t = 1000.0)]
         rate: f64,
+        /// With a policy for all on, held on a lease of 2 s; the other program has it off
+        #[arg(long)]
+        policy: bool,
         #[arg(long)]
         program: Option<PathBuf>,
     },
@@ -251,9 +254,9 @@
         Command::Ask { config, operation, body, many } => {
             standing::ask(&config, &operation, &body, many).map(|()| true)
         }
-        Command::Trial { trial: Trial::Cost { against, seed, pairs, rate, program } } => {
+        Command::Trial { trial: Trial::Cost { against, seed, pairs, rate, policy, program } } => {
             let setup = setup(found(program)?, 64, Duration::from_millis(800));
-            let plan = trial::cost::Plan { seed, pairs, rate, against, setup };
+            let plan = trial::cost::Plan { seed, pairs, rate, against, setup, policy };
             local.block_on(&runtime, trial::cost::run(&plan)).map(|(_, clean)| clean)
         }
         Command::Trial { trial: Trial::Uwsgi { seed, seeds, rate, program } } => {
--- a/crates/merlinshelf-lab/src/trial/cost.rs
+++ b/crates/merlinshelf-lab/src/trial/cost.rs
@@ -4,7 +4,11 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use merlinshelf_agent::talk::Talk;
+use merlinshelf_policy::{Beat, Grant, Policy, Said};
+use merlinshelf_protocol::control::Question;
 use serde_json::{Value, json};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::instance::{Instance, Setup};
@@ -17,12 +21,37 @@
     pub rate: f64,
     pub against: PathBuf,
     pub setup: Setup,
+    /// The own program has a policy for all on.
+    pub policy: bool,
+}
+
+/// Holds the instance's lease on a policy, as its agent does: four beats a second.
+async fn beat(control: PathBuf) {
+    let (mut life, mut asked) = (0, 0.0);
+    loop {
+        let beat = Beat {
+            life,
+            offer: Some((1, Policy { call_share: Some(4.0), ..Policy::default() })),
+            fence: 0,
+            grant: Some(Grant { number: 1, asked, for_s: 2.0 }),
+        };
+        let body = serde_json::to_value(&beat).unwrap_or_default();
+        if let Ok(mut talk) = Talk::ask(&control, Question::Policy, &body, Duration::from_secs(1)).await
+            && let Ok((_, said)) = talk.next().await
+            && let Ok(said) = serde_json::from_value::<Said>(said)
+        {
+            (life, asked) = (said.life, said.asked);
+        }
+        sleep(Duration::from_millis(250)).await;
+    }
 }
 
 /// One play: microseconds on the cores an invocation, and the most memory in KB.
 async fn play(plan: &Plan, program: &Path, seed: u64) -> io::Result<(f64, u64)> {
-    let setup = Setup { program: program.into(), ..plan.setup.clone() };
+    let policy = plan.policy && program == plan.setup.program;
+    let setup = Setup { program: program.into(), policy, ..plan.setup.clone() };
     let mut instance = Instance::start(&setup, 3).await?;
+    let beating = policy.then(|| spawn_local(beat(instance.control.clone())));
     let load = Load::of_all(&instance.address, 100, plan.rate, seed);
     let playing = load.start().await?;
     sleep(Duration::from_millis(700)).await;
@@ -31,6 +60,9 @@
     let (after, now) = (instance.cpu()?, playing.seen.borrow().sent.len());
     let memory = instance.memory_most_kb().unwrap_or(0);
     playing.stop().await;
+    if let Some(beating) = beating {
+        beating.abort();
+    }
     instance.end().await;
     Ok(((after - before).as_secs_f64() * 1e6 / (now - sent).max(1) as f64, memory))
 }
--- a/crates/merlinshelf/tests/traces.rs
+++ b/crates/merlinshelf/tests/traces.rs
@@ -533,3 +533,13 @@
     });
     assert_eq!(traces[0], traces[1]);
 }
+
+#[test]
+fn an_operation_whose_objective_is_nothing_is_turned_away_also_with_all_cores_free() {
+    let mut play = play(&[("Classes.0.AimUs", "0"), ("Classes.0.LateWorth", "1")]);
+    play.wake(0.0, 0.1);
+    play.arrive(0.01, 0, inv(0));
+    play.arrive(0.02, 1, Invocation { again: true, ..inv(0) });
+    play.arrive(0.03, 2, inv(2));
+    insta::assert_snapshot!(play.trace);
+}
