--- a/crates/merlinshelf-cli/tests/policy.rs
+++ b/crates/merlinshelf-cli/tests/policy.rs
@@ -7,7 +7,7 @@
 
 use merlinshelf_lab::installation::{Changed, Installation, Made, check, evidence, out_of_order, policy_of};
 use merlinshelf_lab::instance::signal;
-use merlinshelf_lab::link::Fault;
+use merlinshelf_lab::link::{ControlLink, Fault};
 use merlinshelf_protocol::control::Word;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -280,6 +280,29 @@
     });
 }
 
+#[test]
+fn a_link_to_an_instance_that_hangs_half_open_ends_its_lease_on_both_sides_in_order() {
+    play(async {
+        let all = Installation::start(PROGRAM.as_ref(), 31, &MADE).await?;
+        let playing = all.load(60.0, 8).await?;
+        let mut changes = vec![change(&all, 0, 0, "one").await?];
+        let link = ControlLink::take(&all.hosts[1].control(0))?;
+        sleep(Duration::from_millis(400)).await; // beats go through it
+        link.hold(true);
+        let began = Instant::now();
+        changes.push(change(&all, 0, 1, "two").await?);
+        assert!(changes[1].held && began.elapsed() < ENDS_WITHIN, "{:?}", began.elapsed());
+        // What lay there comes all at once, grants of the former policy among it.
+        link.hold(false);
+        changes.push(change(&all, 2, 2, "three").await?);
+        drop(link);
+        all.when("all act on the new one", |shows| shows.iter().all(|show| acts(show) == [Some(3), Some(3)]))
+            .await?;
+        ends_clean(&all, playing, &changes).await;
+        Ok(())
+    });
+}
+
 #[test]
 fn clocks_that_run_apart_and_a_full_disk_break_no_order() {
     play(async {
--- a/crates/merlinshelf-lab/src/installation.rs
+++ b/crates/merlinshelf-lab/src/installation.rs
@@ -96,6 +96,11 @@
         std::fs::read_to_string(self.folder.join("agent.log")).unwrap_or_default()
     }
 
+    /// The control socket of one instance.
+    pub fn control(&self, place: u16) -> PathBuf {
+        self.folder.join("run").join(format!("web.{place}")).join("control")
+    }
+
     /// Where the agent keeps its part of the log.
     pub fn council(&self) -> PathBuf {
         self.folder.join("run").join("council").join("council")
--- a/crates/merlinshelf-lab/src/link.rs
+++ b/crates/merlinshelf-lab/src/link.rs
@@ -3,12 +3,13 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use tokio::select;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -29,6 +30,55 @@
     Trickles(Duration),
 }
 
+/// Stands between an agent and the control socket of an instance: what is said there lies, on connections that stay open, for as
+/// long as this is held. Dropping it gives the socket back.
+pub struct ControlLink {
+    path: PathBuf,
+    real: PathBuf,
+    held: watch::Sender<bool>,
+    accepting: tokio::task::AbortHandle,
+}
+
+impl ControlLink {
+    /// Takes the socket's place.
+    ///
+    /// # Errors
+    /// The file system's.
+    pub fn take(path: &Path) -> io::Result<ControlLink> {
+        let (path, real) = (path.to_path_buf(), path.with_extension("real"));
+        std::fs::rename(&path, &real)?;
+        let listener = UnixListener::bind(&path)?;
+        let (held, watched) = watch::channel(false);
+        let to = real.clone();
+        let accepting = spawn_local(async move {
+            while let Ok((mut from, _)) = listener.accept().await {
+                let (to, mut watched) = (to.clone(), watched.clone());
+                spawn_local(async move {
+                    // Half open: it was let in, and nothing of what it says goes on.
+                    if watched.wait_for(|held| !*held).await.is_err() {
+                        return;
+                    }
+                    if let Ok(mut to) = UnixStream::connect(to).await {
+                        let _ = tokio::io::copy_bidirectional(&mut from, &mut to).await;
+                    }
+                });
+            }
+        });
+        Ok(ControlLink { path, real, held, accepting: accepting.abort_handle() })
+    }
+
+    pub fn hold(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+}
+
+impl Drop for ControlLink {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        let _ = std::fs::rename(&self.real, &self.path);
+    }
+}
+
 /// A link from one process to another; it ends with its owner.
 pub struct Link {
     fault: watch::Sender<Fault>,
