--- a/crates/merlinshelf-lab/src/trial/policy.rs
+++ b/crates/merlinshelf-lab/src/trial/policy.rs
@@ -16,6 +16,7 @@
 use crate::installation::{Changed, Installation, Made, check, evidence, out_of_order, policy_of, with_sign};
 use crate::instance::signal;
 use crate::link::Fault;
+use crate::load::{Load, Playing};
 
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -176,6 +177,29 @@
     }
 }
 
+/// Says of each invocation that was not answered in time where and in which round it was sent, for whoever looks for the cause.
+fn tell_late(playing: &[(usize, u16, Load, Playing)], rounds: &[(Instant, Trouble)]) {
+    for (host, place, load, playing) in playing {
+        let seen = playing.seen.borrow();
+        let late = seen.sent.iter().filter(|(_, sent)| {
+            let bound = load.patience + Duration::from_millis(50);
+            let answered = sent.answers.first().map(|(at, _)| *at - sent.at);
+            sent.at.elapsed() > bound && answered.is_none_or(|took| took > bound)
+        });
+        for (id, sent) in late.take(20) {
+            let round = rounds.iter().rposition(|(at, _)| *at <= sent.at);
+            let since = round.map(|of| (sent.at - rounds[of].0).as_secs_f64());
+            println!(
+                "h{host}/web.{place}: {id} {} sent {since:.2?} s into round {round:?} {:?}, answered {:?}, killed {:?}",
+                sent.operation,
+                round.map(|of| rounds[of].1),
+                sent.answers.first().map(|(at, status)| (*at - sent.at, *status)),
+                seen.killed.iter().map(|at| at.saturating_duration_since(sent.at)).collect::<Vec<_>>(),
+            );
+        }
+    }
+}
+
 async fn play(plan: &Plan, seed: u64, number: u8, sums: &mut Sums) -> io::Result<()> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut all = Installation::start(&plan.program, number, &plan.made).await?;
@@ -185,6 +209,7 @@
     let mut troubles: Vec<Trouble> = Vec::new();
     // Each refused or held sign is another one than the last that held and the last that was proposed.
     let (mut held_sign, mut last_sign) = (None, None);
+    let mut rounds: Vec<(Instant, Trouble)> = Vec::new();
     for round in 0..plan.rounds {
         if troubles.is_empty() {
             troubles = ALL.to_vec();
@@ -210,6 +235,7 @@
             document["operations"]["unheard-of"] = json!({ "worth": 1.0 });
         }
         let proposed = Instant::now();
+        rounds.push((proposed, trouble));
         let at = acting.rng.random_range(0..acting.all.hosts.len());
         let body = json!({ "id": id, "policy": document, "wait": true });
         let pause = Duration::from_millis(acting.rng.random_range(0..40));
@@ -283,6 +309,7 @@
     }
     let shown = evidence(&playing);
     let (order, halves) = out_of_order(&changes, &shown);
+    tell_late(&playing, &rounds);
     let verdict = check(&all, playing).await;
     sums.order += order;
     sums.halves += halves;
