--- a/crates/merlinshelf-lab/src/main.rs
+++ b/crates/merlinshelf-lab/src/main.rs
@@ -91,6 +91,36 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// One change of policy a round for all instances of several agents, with faults between the processes by seed
+    #[command(after_help = "Example:\n  merlinshelf-lab trial policy --seed 28 --rounds 20")]
+    Policy {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds are played, from this one on
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Changes in each seed
+        #[arg(long, default_value_t = 13)]
+        rounds: u32,
+        #[arg(long, default_value_t = 3)]
+        agents: u8,
+        /// Instances of each agent
+        #[arg(long, default_value_t = 4)]
+        instances: u16,
+        #[arg(long, default_value_t = 1000)]
+        lease_ms: u64,
+        /// Invocations a second to each instance
+        #[arg(long, default_value_t = 30.0)]
+        rate: f64,
+        /// This fault in every round, instead of by seed
+        #[arg(long, value_enum)]
+        only: Option<trial::policy::Trouble>,
+        /// The way before there was a policy for all: a new file and a restart of one after the other, on one host
+        #[arg(long)]
+        by_restart: bool,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Two dependencies of five servers each that fail by script, against plain ways to call them; many instances in virtual time
     #[command(after_help = "Example:\n  merlinshelf-lab trial dependencies --seed 19")]
     Dependencies {
@@ -240,6 +270,32 @@
             let plan = trial::fleet::Plan { seed, seeds, instances, rate, kills, kill_instances, program };
             local.block_on(&runtime, trial::fleet::run(&plan)).map(|(_, clean)| clean)
         }
+        Command::Trial {
+            trial:
+                Trial::Policy {
+                    seed,
+                    seeds,
+                    rounds,
+                    agents,
+                    instances,
+                    lease_ms,
+                    rate,
+                    only,
+                    by_restart,
+                    program,
+                },
+        } => {
+            let program = std::fs::canonicalize(found(program)?)?;
+            let (hosts, council) = (if by_restart { 1 } else { agents }, !by_restart);
+            let made =
+                merlinshelf_lab::installation::Made { hosts, instances, lease_ms, watch_ms: 0, council };
+            let plan = trial::policy::Plan { seed, seeds, rounds, made, rate, program, only };
+            if by_restart {
+                local.block_on(&runtime, trial::policy::by_restart(&plan)).map(|_| true)
+            } else {
+                local.block_on(&runtime, trial::policy::run(&plan)).map(|(_, clean)| clean)
+            }
+        }
         Command::Trial {
             trial: Trial::Learning { seed, seeds, at_once, fleets, costs, crashes, program },
         } => {
