--- a/crates/merlinshelf-cli/tests/policy.rs
+++ b/crates/merlinshelf-cli/tests/policy.rs
@@ -7,7 +7,7 @@
 
 use merlinshelf_lab::installation::{Changed, Installation, Made, check, evidence, out_of_order, policy_of};
 use merlinshelf_lab::instance::signal;
-use merlinshelf_lab::link::Fault;
+use merlinshelf_lab::link::{ControlLink, Fault};
 use merlinshelf_protocol::control::Word;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -227,6 +227,16 @@
             changes.push(Changed { proposed: at, sign: 2, held });
         }
         assert!(changes.iter().skip(1).any(|change| change.held));
+        // One agent shows the instances of all.
+        let socket = all.hosts[0].socket();
+        let socket = socket.to_str().unwrap_or_default();
+        sleep(Duration::from_millis(1200)).await;
+        let shown =
+            String::from_utf8_lossy(&run(&["fleet", "--agent", socket, "status"]).stdout).into_owned();
+        assert!(shown.contains("h1/web.0") && shown.contains("h2/web.1"), "{shown}");
+        let shown = String::from_utf8_lossy(&run(&["fleet", "--agent", socket, "policy", "show"]).stdout)
+            .into_owned();
+        assert!(shown.contains("members h0, h1, h2") && shown.contains("acts on"), "{shown}");
         // Undone: the former one holds again, by a further change.
         let undone = Instant::now();
         let (word, said) = all.hosts[1].policy("undo", json!({ "id": "back", "wait": true })).await?;
@@ -270,6 +280,29 @@
     });
 }
 
+#[test]
+fn a_link_to_an_instance_that_hangs_half_open_ends_its_lease_on_both_sides_in_order() {
+    play(async {
+        let all = Installation::start(PROGRAM.as_ref(), 31, &MADE).await?;
+        let playing = all.load(60.0, 8).await?;
+        let mut changes = vec![change(&all, 0, 0, "one").await?];
+        let link = ControlLink::take(&all.hosts[1].control(0))?;
+        sleep(Duration::from_millis(400)).await; // beats go through it
+        link.hold(true);
+        let began = Instant::now();
+        changes.push(change(&all, 0, 1, "two").await?);
+        assert!(changes[1].held && began.elapsed() < ENDS_WITHIN, "{:?}", began.elapsed());
+        // What lay there comes all at once, grants of the former policy among it.
+        link.hold(false);
+        changes.push(change(&all, 2, 2, "three").await?);
+        drop(link);
+        all.when("all act on the new one", |shows| shows.iter().all(|show| acts(show) == [Some(3), Some(3)]))
+            .await?;
+        ends_clean(&all, playing, &changes).await;
+        Ok(())
+    });
+}
+
 #[test]
 fn clocks_that_run_apart_and_a_full_disk_break_no_order() {
     play(async {
