Find processes under trial in one place of the laboratory

The installation's hosts looked through /proc with a copy of what the fleet's rig does, and again for one instance. Behaviour as before; lints and a test between processes pass.

--- a/crates/merlinshelf-lab/src/fleet.rs
+++ b/crates/merlinshelf-lab/src/fleet.rs
@@ -16,7 +16,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep};
 
-use crate::instance::{Setup, own_address_at, signal};
+use crate::instance::{Setup, own_address_at, processes_where, signal};
 use crate::load::{Load, Playing, Verdict};
 use crate::script::EXAMPLE;
 use crate::stand_in::{Catalogue, Engine, Members, Records, Shared};
@@ -199,16 +199,10 @@
         Ok(events.map(line).collect::<Vec<_>>().join("\n"))
     }
 
-    /// Processes of the instances, by the pages that they have under `/proc`: whoever was started with this folder's files.
+    /// Processes of the instances, whoever was started with this folder's files.
     pub fn processes(&self) -> Vec<u32> {
         let own = self.folder.join("run").to_string_lossy().into_owned();
-        let all = std::fs::read_dir("/proc").into_iter().flatten().flatten();
-        let pids = all.filter_map(|one| one.file_name().to_str()?.parse::<u32>().ok());
-        let started = |pid: &u32| {
-            let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-            String::from_utf8_lossy(&line).split('\0').any(|word| word.starts_with(&own))
-        };
-        pids.filter(started).collect()
+        processes_where(|word| word.starts_with(&own))
     }
 
     pub fn address(&self, place: u16) -> String {
--- a/crates/merlinshelf-lab/src/installation.rs
+++ b/crates/merlinshelf-lab/src/installation.rs
@@ -17,7 +17,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep};
 
-use crate::instance::{Setup, own_address_at, signal};
+use crate::instance::{Setup, own_address_at, processes_where, signal};
 use crate::link::{Fault, Link};
 use crate::load::{Load, Playing, Verdict};
 use crate::script::EXAMPLE;
@@ -136,23 +136,13 @@
     /// Processes of the instances: whoever was started with this host's files.
     pub fn processes(&self) -> Vec<u32> {
         let own = self.folder.join("run").to_string_lossy().into_owned();
-        let all = std::fs::read_dir("/proc").into_iter().flatten().flatten();
-        let pids = all.filter_map(|one| one.file_name().to_str()?.parse::<u32>().ok());
-        let started = |pid: &u32| {
-            let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-            String::from_utf8_lossy(&line).split('\0').any(|word| word.starts_with(&own))
-        };
-        pids.filter(started).collect()
+        processes_where(|word| word.starts_with(&own))
     }
 
     /// Processes of one instance.
     pub fn processes_of(&self, place: u16) -> Vec<u32> {
         let own = self.folder.join("run").join(format!("web.{place}")).join("config.json");
-        let named = |pid: &u32| {
-            let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-            String::from_utf8_lossy(&line).split('\0').any(|word| Path::new(word) == own)
-        };
-        self.processes().into_iter().filter(named).collect()
+        processes_where(|word| Path::new(word) == own)
     }
 
     /// Asks the agent; all that it says, the last word last.
--- a/crates/merlinshelf-lab/src/instance.rs
+++ b/crates/merlinshelf-lab/src/instance.rs
@@ -125,6 +125,17 @@
     }
 }
 
+/// Processes one of whose words on the command line is as it should be, by the pages that they have under `/proc`.
+pub fn processes_where(is: impl Fn(&str) -> bool) -> Vec<u32> {
+    let all = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let pids = all.filter_map(|one| one.file_name().to_str()?.parse::<u32>().ok());
+    let started = |pid: &u32| {
+        let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+        String::from_utf8_lossy(&line).split('\0').any(&is)
+    };
+    pids.filter(started).collect()
+}
+
 impl Instance {
     /// Starts stand-ins and the program between them, and waits until it serves.
     pub async fn start(setup: &Setup, number: u8) -> io::Result<Instance> {
