Rules gone through: effects by word, windows, joined repeats, what is given up is answered at once

- An effect or a halt that is no known word was taken for another one without a word, and a tokened operation without a window was kept for one millisecond, so that its repeat would have run again.
Both are named at the start now, as are unreadable quotas, start capacities and stretches.
- A repeat that had joined what was then given up unrun waited for the host's word; it is answered in that same decision.
Its number is forgotten by those that wait, since it may be handed out again.
- A repeat read in the moment in which the first one's caller was told gone, unrun, joined nothing; it starts afresh, for nothing has run.
- A refusal with nothing measured yet said no time to come back; it says one beat.

A test walks every rule of RULES: each is played as one that gives up, and its answer must be in that same decision with a time to come back, or it is sorted by name among those that serve.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -114,8 +114,7 @@
     samples.iter().sum::<f64>() / samples.len().max(1) as f64
 }
 
-/// What others' word counts beside so many own samples: as three at the most, and nothing beside eight, so
-/// that the worst lie is gone after eight.
+/// What others' word counts beside so many own samples: as three at the most, nothing beside eight.
 fn told(own: usize, word: Option<Believed>) -> (f64, f64) {
     word.filter(|_| own < 8).map_or((0.0, 0.0), |it| (it.value, 3.0 * it.weight.clamp(0.0, 1.0)))
 }
@@ -129,16 +128,31 @@
 impl Shedder {
     /// A new instance. Fails on a setting that it uses and cannot read, naming it.
     pub fn start(now: f64, seed: u64, settings: Settings) -> Result<(Self, Decided), String> {
-        let numeric = ["Us", "Kb", "Worth", "Cores", "CallShare", "Factor", "Multiple", "count", "Total"];
-        let number =
-            |name: &str| numeric.iter().any(|end| name.ends_with(end)) && !name.ends_with("SkipWorth");
+        let numeric = ["Us", "Kb", ".Worth", "eWorth", "Cores", "CallShare", "Factor", "Multiple", "count"];
+        let also = ["Total", "PerS", "Capacity", "Stretch", "Servers"];
+        let number = |name: &str| numeric.iter().chain(&also).any(|end| name.ends_with(end));
         let unread = |text: &str| text.parse::<f64>().map_or(true, |value| !value.is_finite());
-        if let Some((name, text)) = settings.iter().find(|(name, text)| number(name) && unread(text)) {
-            return Err(format!("setting {name}={text:?} is no number"));
+        // What is no known word can't be taken for the harmless one: it is named.
+        let words =
+            [(".Effect", "read_like idempotency_key non_idempotent"), (".Halt", "silent discard freeze")];
+        for (name, text) in &settings {
+            if number(name) && unread(text) {
+                return Err(format!("setting {name}={text:?} is no number"));
+            }
+            let known = words.iter().find(|(end, _)| name.ends_with(end)).map_or("", |(_, known)| known);
+            if !known.is_empty() && known.split(' ').all(|word| word != text) {
+                return Err(format!("setting {name}={text:?} is none of: {known}"));
+            }
         }
-        let mut new = Shedder { settings, now, salt: seed, born: now, busy_at: now, ..Shedder::default() };
-        new.rng = Some(Pcg32::seed_from_u64(seed));
+        let rng = Some(Pcg32::seed_from_u64(seed));
+        let mut new =
+            Shedder { settings, now, salt: seed, rng, born: now, busy_at: now, ..Shedder::default() };
         new.ops = (0..new.num("Classes.count", 0.0).max(1.0) as usize).map(|op| new.operation(op)).collect();
+        if let Some(op) = new.ops.iter().position(|op| op.tokened && op.window <= 0.0) {
+            return Err(format!(
+                "setting Classes.{op}.MemorySpanUs is missing or 0, but its effect needs it"
+            ));
+        }
         new.by_work = new.text("CountedBy") == "work";
         new.limit = new.cores();
         // The dependency slows well before its share is full: half of it at the start let all backends jam
@@ -243,8 +257,8 @@
         self.beliefs = beliefs;
     }
 
-    /// What a fleet's budgets leave for calls below until told anew, and what it knows of the dependency; says
-    /// what of the last was left over, and whether the dependency fails here.
+    /// What a fleet's budgets leave for calls below until told anew, and what it knows of the dependency;
+    /// says what of the last was left over, and whether the dependency fails here.
     pub fn spend(&mut self, left: Spend) -> (Spend, bool) {
         let (fails, most) = (self.call_failures >= 5, if left.opens { 4 } else { u32::MAX });
         self.call_failures = self.call_failures.min(most).max(if left.closed { 5 } else { 0 });
@@ -420,7 +434,8 @@
     /// Every core has a run and none has moved for three mean runs; harm: throttles through a long pause.
     fn hangs(&self) -> bool {
         let longest = self.ops.iter().map(|op| mean(&op.runs)).fold(0.0, f64::max);
-        self.on_cores() as f64 >= self.for_runs() && self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5)
+        let still = self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5);
+        still && self.on_cores() as f64 >= self.for_runs()
     }
 
     fn falls_due(&self) -> Option<usize> {
@@ -452,21 +467,19 @@
         let work: f64 = self.all(|_| true).map(|it| self.core_time(it)).sum();
         let clear = work / self.cores() * (0.25 + 0.5 * self.chance()); // half of it, spread
         let never = self.ops[self.invs[inv].told.operation].objective == 0.0; // switched off for all
-        let away = if never || self.leave_at.is_some() { most } else { clear.min(most) };
+        let away = if never || self.leave_at.is_some() { most } else { clear.max(BEAT).min(most) };
         // Not elsewhere where it has been, nor while over a seventh of the last arrivals were further tries:
         // all turn away then. Guards against storms of tries; harm: lost where others have room.
-        let again = self.invs[inv].told.again || mean_beside(&self.agains, self.beliefs.again) > 0.15;
-        let last = never || again;
+        let last = never || self.invs[inv].told.again || mean_beside(&self.agains, self.beliefs.again) > 0.15;
         self.out.throttled.push((inv, away, last));
         self.turned.iter_mut().rev().take(1).for_each(|last| *last = true);
-        self.unrun.push(inv);
         self.release(inv);
     }
 
     fn unwanted_run(&self) -> Option<usize> {
         let waste = |it: &Inv| it.answered && it.stage == Stage::Running && !it.stopping;
-        let found = self.first(|it| waste(it) && self.ops[it.told.operation].idempotent);
-        found.filter(|_| matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze"))
+        let halts = matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze");
+        self.first(|it| halts && waste(it) && self.ops[it.told.operation].idempotent)
     }
 
     fn stop(&mut self, inv: usize) {
@@ -512,7 +525,7 @@
     fn warmth(&self) -> f64 {
         let from = self.num("Rules.StartCapacity", 0.0);
         let over = self.secs("Rules.WarmUpUs", 0.0).max(1e-6);
-        let cold = self.text("FamilyInfo.FreshStart") == "true";
+        let cold = matches!(self.text("FamilyInfo.FreshStart"), "true" | "1");
         if cold { (from + (1.0 - from) * (self.now - self.born) / over).min(1.0) } else { 1.0 }
     }
 
@@ -851,7 +864,7 @@
 
     /// How long idle connections stay: a third of the callers' own time while half of the last callers had
     /// come again within that time (a fifth of it: quiet days lose to openings), else hardly at all. Guards
-    /// against a table full of callers who don't come back; harm: a few busy ones among many open anew.
+    /// against a table full of callers who don't come back; harm: a few busy ones open anew.
     fn keep_idle(&mut self) -> f64 {
         let idle = self.secs("FamilyInfo.CallerIdleUs", 0.0);
         let from = self.now - if self.callers.len() > 4096 { idle.min(1.0) } else { idle };
@@ -859,7 +872,8 @@
         let back =
             self.gaps.iter().filter(|&&gap| gap <= idle).count() as f64 / self.gaps.len().max(1) as f64;
         let back = if self.gaps.len() < 8 { self.beliefs.back.map_or(1.0, |word| word.value) } else { back };
-        if back >= 0.5 { idle / 3.0 } else { idle.min(0.01) }
+        let shorter = if back >= 0.5 { idle / 3.0 } else { idle.min(0.01) };
+        shorter
     }
 
     fn settle(&mut self) -> Decided {
@@ -871,9 +885,7 @@
     }
 
     fn at(&mut self, now: f64) {
-        if now > self.now {
-            self.unrun.clear();
-        }
+        self.unrun.retain(|_| now <= self.now);
         self.now = now;
         self.entries.retain(|&(end, _)| end > now);
         let from = now - self.call_window();
@@ -886,14 +898,25 @@
         }
     }
 
-    /// What leaves unrun leaves the table too, so that a later try of it starts afresh.
+    /// What leaves unrun leaves the table too, so that a later try of it starts afresh. Repeats that wait for
+    /// its result hear now if there is none; its number may be handed out again.
     fn release(&mut self, inv: usize) {
-        if self.invs[inv].entry && !self.invs[inv].ran {
+        let Inv { ran, stage, entry, .. } = self.invs[inv];
+        let unrun = !ran && stage != Stage::Joined;
+        self.unrun.extend(Some(inv).filter(|_| unrun));
+        if entry && unrun {
             self.out.forgotten.push(inv);
             self.entries.retain(|&(_, holder)| holder != inv);
         }
         self.live.retain(|&one| one != inv);
         self.out.released.push(inv);
+        let waits = |it: &Inv| it.stage == Stage::Joined && it.told.earlier == Some(inv);
+        while let Some(one) = self.first(waits) {
+            self.invs[one].told.earlier = None;
+            if unrun {
+                self.give_up(one);
+            }
+        }
     }
 
     fn lives(&self, inv: usize) -> bool {
--- a/crates/merlinshelf/src/shedder/tests.rs
+++ b/crates/merlinshelf/src/shedder/tests.rs
@@ -20,3 +20,171 @@
     assert!(most <= 5_000 && shedder.callers.contains_key(&0), "{most}");
     assert!(shedder.callers.len() <= 310, "{}", shedder.callers.len());
 }
+
+fn instance(extra: &[(&str, &str)]) -> Shedder {
+    let base = [
+        ("Classes.count", "3"),
+        ("Classes.0.Effect", "read_like"),
+        ("Classes.1.Effect", "idempotency_key"),
+        ("Classes.1.MemorySpanUs", "5000000"),
+        ("Classes.2.Effect", "non_idempotent"),
+        ("Classes.0.AimUs", "1000000"),
+        ("Classes.1.AimUs", "1000000"),
+        ("Classes.2.AimUs", "1000000"),
+        ("Classes.0.DeadlineUs", "4000000"),
+        ("Classes.1.DeadlineUs", "4000000"),
+        ("Classes.2.DeadlineUs", "4000000"),
+        ("FamilyInfo.Cores", "2"),
+        ("FamilyInfo.HeapKb", "10000"),
+        ("FamilyInfo.RunFactor", "4"),
+        ("FamilyInfo.KeyKb", "100"),
+        ("FamilyInfo.ClassCalls", "true,true,true"),
+        ("FamilyInfo.ClassSkipWorth", "0,0,0"),
+        ("Rules.FallMultiple", "4"),
+        ("Rules.DrainGraceUs", "1000000"),
+        ("Allowed.RetryAfter", "true"),
+        ("Allowed.MaxRetryAfterUs", "1000000"),
+    ];
+    let settings = base.iter().chain(extra).map(|&(name, value)| (name.to_owned(), value.to_owned()));
+    Shedder::start(0.0, 1, settings.collect()).expect("settings that are read").0
+}
+
+fn told(operation: usize) -> Invocation {
+    Invocation { operation, held_kb: 50.0, rank: 0.5, ..Invocation::default() }
+}
+
+/// Both cores busy with runs 0 and 1 of the operation, and `number` held, which does not decide anything yet.
+fn with_one_held(operation: usize, number: usize) -> Shedder {
+    let mut shedder = instance(&[]);
+    for running in 0..2 {
+        shedder.arrived(0.0, running, told(operation));
+    }
+    assert_eq!(shedder.arrived(0.0, number, told(operation)).throttled, []);
+    shedder
+}
+
+/// What a rule that gives up has ceased to mean to serve is answered in that same decision: no rule may keep it
+/// until near its client timeout.
+#[test]
+fn whatever_is_given_up_is_answered_in_that_same_decision() {
+    type Scene = fn() -> (Shedder, Decided);
+    let scenes: &[(&str, Scene)] = &[
+        ("answer what falls due", || {
+            let mut shedder = instance(&[("Classes.2.AimUs", "4000000")]);
+            shedder.arrived(0.0, 7, told(2));
+            let decided = shedder.woken(3.99, 0, &BTreeMap::new());
+            (shedder, decided)
+        }),
+        ("keep within memory", || {
+            let mut shedder = instance(&[("FamilyInfo.HeapKb", "100")]);
+            let decided = shedder.arrived(0.0, 7, Invocation { held_kb: 95.0, ..told(0) });
+            (shedder, decided)
+        }),
+        ("turn away after the grace", || {
+            let mut shedder = instance(&[]);
+            shedder.leave(0.0, 5.0);
+            let decided = shedder.arrived(1.5, 7, told(0));
+            (shedder, decided)
+        }),
+        ("cut by group over the limit", || {
+            let mut shedder = instance(&[]);
+            shedder.woken(0.0, 0, &[("cpu_busy".to_owned(), 1.0)].into());
+            for number in 0..2 {
+                shedder.arrived(0.0, number, told(0));
+            }
+            let decided = shedder.arrived(0.0, 7, told(0));
+            (shedder, decided)
+        }),
+        ("turn away what comes too late", || {
+            let mut shedder = instance(&[]);
+            shedder.arrived(0.0, 0, told(0));
+            shedder.ended(0.9, 0, Outcome { succeeded: true, ..Outcome::default() }, 0.9);
+            for number in 1..3 {
+                shedder.arrived(0.9, number, told(0));
+            }
+            let decided = shedder.arrived(0.9, 7, told(0));
+            (shedder, decided)
+        }),
+        ("drop held work past its objective", || {
+            let mut shedder = with_one_held(0, 7);
+            shedder.woken(0.99, 0, &BTreeMap::new());
+            assert!(shedder.invocation(7).is_some(), "meant to serve until its objective");
+            let decided = shedder.woken(1.01, 0, &BTreeMap::new());
+            (shedder, decided)
+        }),
+        ("give up calls that lead nowhere", || {
+            let mut shedder = instance(&[]);
+            shedder.arrived(0.0, 7, told(2));
+            shedder.wants_call(0.1, 7);
+            let decided = shedder.call_ended(0.2, 7, Outcome::default(), 0.1);
+            (shedder, decided)
+        }),
+    ];
+    let others = [
+        "stop work that nobody waits for",
+        "join repeats",
+        "raise the limit while cores idle",
+        "hold the rest",
+        "leave out calls that come too late",
+        "call below within the share",
+        "start the best while cores are free",
+        "tell checks and callers",
+    ];
+    for (name, ..) in RULES {
+        let gives_up = scenes.iter().any(|(scene, _)| scene == name);
+        assert!(gives_up != others.contains(name), "{name}: played here, or sorted among those that serve");
+    }
+    for (name, scene) in scenes {
+        let (shedder, decided) = scene();
+        let refused = decided.throttled.iter().find(|answer| answer.0 == 7);
+        assert!(refused.is_some() || decided.errored.contains(&7), "{name}: {decided:?}");
+        assert!(refused.is_none_or(|answer| answer.1 > 0.0), "{name}: when to come back {decided:?}");
+        assert!(shedder.invocation(7).is_none_or(|it| it.answered), "{name}: nothing is owed any more");
+    }
+}
+
+#[test]
+fn repeats_that_joined_what_is_given_up_unrun_hear_so_in_that_same_decision() {
+    let mut shedder = with_one_held(1, 7);
+    let repeat = Invocation { repeats: true, earlier: Some(7), ..told(1) };
+    assert_eq!(shedder.arrived(0.5, 8, repeat.clone()).joined, [8]);
+    let decided = shedder.woken(1.01, 0, &BTreeMap::new());
+    assert_eq!(decided.throttled.iter().map(|answer| answer.0).collect::<Vec<_>>(), [7]);
+    assert_eq!((decided.errored, decided.forgotten), (vec![8], vec![7]));
+    // Its number may be handed out again: who waits for an answer of a run is not taken for its repeat.
+    shedder.arrived(1.1, 9, Invocation { repeats: true, earlier: Some(0), ..told(1) });
+    shedder.ended(1.2, 0, Outcome { succeeded: true, ..Outcome::default() }, 1.2);
+    let again = shedder.arrived(1.3, 0, Invocation { held_kb: 99_999.0, ..told(0) });
+    assert_eq!((again.throttled.len(), again.errored), (1, vec![]));
+}
+
+#[test]
+fn a_repeat_read_with_word_that_the_first_ones_caller_left_unrun_starts_afresh() {
+    let mut shedder = with_one_held(1, 7);
+    assert_eq!(shedder.caller_left(0.5, 7).forgotten, [7]);
+    let decided = shedder.arrived(0.5, 8, Invocation { repeats: true, earlier: Some(7), ..told(1) });
+    assert_eq!((decided.joined, decided.kept.len()), (vec![], 1), "nothing has run: it is held for itself");
+}
+
+#[test]
+fn settings_that_the_second_rule_rests_on_are_never_read_as_the_harmless_ones() {
+    let start = |name: &str, value: &str| {
+        let settings = [("Classes.count", "1"), ("Classes.0.Effect", "idempotency_key"), (name, value)];
+        let settings = settings.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
+        Shedder::start(0.0, 1, settings).err().unwrap_or_default()
+    };
+    for (name, value) in [
+        ("Classes.0.Effect", "idempotent-ish"),
+        ("Classes.0.MemorySpanUs", "0"),
+        ("FamilyInfo.Halt", "kill"),
+        ("Tenants.0.QuotaPerS", "many"),
+        ("Rules.StartCapacity", "half"),
+    ] {
+        assert!(start(name, value).contains(name), "{name}={value}: {:?}", start(name, value));
+    }
+    assert!(
+        start("FamilyInfo.Cores", "2").contains("Classes.0.MemorySpanUs"),
+        "no window to keep tokens for"
+    );
+    assert_eq!(start("Classes.0.MemorySpanUs", "5000000"), "");
+}
