--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -73,6 +73,7 @@
     leave_at: Option<(f64, f64)>,
     ops: Vec<Operation>,
     by_work: bool, // whether billed value is counted by work
+    marked: bool,  // whether callers mark further tries
     rates: Vec<f64>,
     invs: Vec<Inv>,
     live: Vec<usize>,  // in order of arrival
@@ -96,10 +97,11 @@
     level_at: f64,
     told: Option<(bool, Option<f64>, f64)>, // health, level, idle time of connections
     callers: BTreeMap<u64, f64>,            // when each came last
+    asked: VecDeque<(f64, f64)>,            // when the last arrivals came, and their expected time on a core
     gaps: VecDeque<f64>,                    // after how long the callers of the last arrivals had come back
-    agains: VecDeque<f64>,                  // whether the last arrivals were further tries (1 or 0)
-    beliefs: Beliefs,                       // on the word of others: nothing on the ordinary path
-    spend: Spend,                           // what a fleet's budgets leave: all of it on the ordinary path
+    agains: VecDeque<f64>, // whether the last arrivals were further tries, unmarked: the last decided refused
+    beliefs: Beliefs,      // on the word of others: nothing on the ordinary path
+    spend: Spend,          // what a fleet's budgets leave: all of it on the ordinary path
 }
 
 /// Keeps the last few samples. 24 spans a second or two of a busy operation: recent, not jumpy.
@@ -154,6 +156,7 @@
             ));
         }
         new.by_work = new.text("CountedBy") == "work";
+        new.marked = new.text("Callers.MarksRetry") != "false";
         new.limit = new.cores();
         // The dependency slows well before its share is full: half of it at the start let all backends jam
         // it together before they had samples, a quarter took long to rise where it had room.
@@ -293,10 +296,14 @@
         let over_share = self.beyond_share(told.customer);
         let before = self.callers.insert(told.caller, now).unwrap_or(f64::NEG_INFINITY);
         sample(&mut self.gaps, now - before);
-        sample(&mut self.agains, f64::from(u8::from(told.again)));
+        if self.marked {
+            sample(&mut self.agains, f64::from(u8::from(told.again)));
+        }
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
         self.invs.resize_with(self.invs.len().max(inv + 1), Inv::default);
         self.invs[inv] = Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() };
+        self.asked.truncate(23);
+        self.asked.push_front((now, self.core_time(&self.invs[inv])));
         self.live.push(inv);
         self.turned.push(false); // cleared at every telling
         self.settle()
@@ -431,11 +438,13 @@
         if self.now - self.busy_at > 0.5 || self.hangs() { 1.0 } else { self.busy }
     }
 
-    /// Every core has a run and none has moved for three mean runs; harm: throttles through a long pause.
+    /// Every core has a run, none has moved for three mean runs, and the gauge has fallen: two long runs on
+    /// two cores move as little, but keep them busy. Harm: throttles through a long pause.
     fn hangs(&self) -> bool {
         let longest = self.ops.iter().map(|op| mean(&op.runs)).fold(0.0, f64::max);
+        let idle = self.now - self.busy_at > 0.5 || self.busy <= Self::CUT_FROM;
         let still = self.now - self.progress > 3.0 * longest.clamp(0.3, 1.5);
-        still && self.on_cores() as f64 >= self.for_runs()
+        idle && still && self.on_cores() as f64 >= self.for_runs()
     }
 
     fn falls_due(&self) -> Option<usize> {
@@ -473,6 +482,7 @@
         let last = never || self.invs[inv].told.again || mean_beside(&self.agains, self.beliefs.again) > 0.15;
         self.out.throttled.push((inv, away, last));
         self.turned.iter_mut().rev().take(1).for_each(|last| *last = true);
+        self.decided_on(1.0);
         self.release(inv);
     }
 
@@ -482,6 +492,13 @@
         self.first(|it| halts && waste(it) && self.ops[it.told.operation].idempotent)
     }
 
+    /// Unmarked further tries show by what this one turns away of the last that it decided on.
+    fn decided_on(&mut self, turned: f64) {
+        if !self.marked {
+            sample(&mut self.agains, turned);
+        }
+    }
+
     fn stop(&mut self, inv: usize) {
         self.invs[inv].stopping = true;
         self.out.stopped.push(inv);
@@ -614,6 +631,7 @@
         let (now, it) = (self.now, &mut self.invs[inv]);
         (it.stage, it.began, it.since, it.ran) = (Stage::Running, now, now, true);
         self.out.started.push(inv);
+        self.decided_on(0.0);
     }
 
     /// Billed value by second of core. A marked further try counts half: guards against retries that take the
@@ -862,9 +880,17 @@
         self.out.trim_after = Some(idle).filter(|_| idle >= 0.01 && was.is_none_or(|was| was.2 != idle));
     }
 
+    /// What the last arrivals ask for, as a part of what the cores can do, whatever is then decided.
+    fn demand(&self) -> f64 {
+        let since = self.asked.back().map_or(0.0, |&(at, _)| self.now - at).max(1e-9);
+        self.asked.iter().map(|&(_, work)| work).sum::<f64>() / (self.cores() * since)
+    }
+
     /// How long idle connections stay: a third of the callers' own time while half of the last callers had
     /// come again within that time (a fifth of it: quiet days lose to openings), else hardly at all. Guards
-    /// against a table full of callers who don't come back; harm: a few busy ones open anew.
+    /// against a table full of callers who don't come back; harm: a few busy ones open anew. All of it where
+    /// arrivals ask for more than the cores can do and no mark tells further tries: a full table turns away
+    /// at no cost, an opening takes a seventh of a run. Harm: lost in a short rush.
     fn keep_idle(&mut self) -> f64 {
         let idle = self.secs("FamilyInfo.CallerIdleUs", 0.0);
         let from = self.now - if self.callers.len() > 4096 { idle.min(1.0) } else { idle };
@@ -873,7 +899,7 @@
             self.gaps.iter().filter(|&&gap| gap <= idle).count() as f64 / self.gaps.len().max(1) as f64;
         let back = if self.gaps.len() < 8 { self.beliefs.back.map_or(1.0, |word| word.value) } else { back };
         let shorter = if back >= 0.5 { idle / 3.0 } else { idle.min(0.01) };
-        shorter
+        if !self.marked && self.demand() > 1.0 { idle } else { shorter }
     }
 
     fn settle(&mut self) -> Decided {
--- a/crates/merlinshelf/src/shedder/tests.rs
+++ b/crates/merlinshelf/src/shedder/tests.rs
@@ -188,3 +188,36 @@
     );
     assert_eq!(start("Classes.0.MemorySpanUs", "5000000"), "");
 }
+
+#[test]
+fn long_runs_on_busy_cores_are_no_hang() {
+    let mut shedder = with_one_held(0, 7);
+    for (busy, healthy) in [(1.0, true), (0.1, false)] {
+        let gauges = [("cpu_busy".to_owned(), busy)].into();
+        shedder.woken(if healthy { 0.97 } else { 0.98 }, 0, &gauges);
+        assert_eq!(shedder.told.map(|told| told.0), Some(healthy), "{busy}");
+    }
+}
+
+#[test]
+fn unmarked_further_tries_show_by_refusals_and_keep_connections() {
+    let settings = [("FamilyInfo.CallerIdleUs", "30000000"), ("Callers.MarksRetry", "false")];
+    let play = |marks: &str| {
+        let mut shedder = instance(&[settings[0], (settings[1].0, marks)]);
+        shedder.woken(0.0, 0, &[("cpu_busy".to_owned(), 1.0)].into());
+        shedder.arrived(0.0, 0, told(0));
+        shedder.ended(0.3, 0, Outcome { succeeded: true, ..Outcome::default() }, 0.3);
+        let mut last = false;
+        for number in 0..60 {
+            let now = 0.31 + 0.01 * number as f64;
+            let gauges = [("cpu_busy".to_owned(), 1.0)].into();
+            shedder.woken(now, 0, &gauges);
+            let caller = number as u64;
+            let decided = shedder.arrived(now, number, Invocation { caller, ..told(0) });
+            last = decided.throttled.first().map_or(last, |answer| answer.2);
+        }
+        (last, shedder.told.map(|told| told.2))
+    };
+    assert_eq!(play("false"), (true, Some(30.0)), "all refuse: no try elsewhere, nobody new let in");
+    assert_eq!(play("true"), (false, Some(0.01)), "no try was marked as a further one: others have room");
+}
