Unmarked further tries are told by a passed time well under the longest lately

The longest of the last 24 by operation is what a first try has; under three quarters of it one counts as marked. Lines at fault: `told.again` in `arrived`, which was the mark alone.

What was taken for the time of a first try: none before, marks alone.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -31,9 +31,10 @@
     window: f64,
     skip_value: f64,
     calls: bool,
-    runs: VecDeque<f64>,  // durations without calls
-    costs: VecDeque<f64>, // hinted costs of those runs, 1 where there are no hints
-    below: VecDeque<f64>, // time at calls and waiting for them, by run
+    runs: VecDeque<f64>,    // durations without calls
+    costs: VecDeque<f64>,   // hinted costs of those runs, 1 where there are no hints
+    below: VecDeque<f64>,   // time at calls and waiting for them, by run
+    budgets: VecDeque<f64>, // how long callers would wait, at arrival
     lowest: f64,
     until_probe: f64,
 }
@@ -284,6 +285,13 @@
     pub fn arrived(&mut self, now: f64, inv: usize, mut told: Invocation) -> Decided {
         self.at(now);
         told.operation = told.operation.min(self.ops.len() - 1);
+        // Unmarked, a passed time under three quarters of the longest lately tells a further try: first
+        // tries wait alike, further ones with what is left. Harm: callers who wait less are taken for these.
+        if let Some(budget) = told.budget.filter(|_| !self.marked) {
+            let budgets = &mut self.ops[told.operation].budgets;
+            sample(budgets, budget + told.age);
+            told.again = budget + told.age < 0.75 * budgets.iter().fold(0.0, |most, &it| it.max(most));
+        }
         let op = &self.ops[told.operation];
         let arrived = now - told.age;
         let due = told.budget.map_or(arrived + op.timeout, |budget| now + budget);
--- a/crates/merlinshelf/src/shedder/tests.rs
+++ b/crates/merlinshelf/src/shedder/tests.rs
@@ -221,3 +221,17 @@
     assert_eq!(play("false"), (true, Some(30.0)), "all refuse: no try elsewhere, nobody new let in");
     assert_eq!(play("true"), (false, Some(0.01)), "no try was marked as a further one: others have room");
 }
+
+#[test]
+fn a_passed_time_well_under_the_longest_lately_tells_an_unmarked_further_try() {
+    let play = |marks: &str| {
+        let mut shedder = instance(&[("Callers.MarksRetry", marks)]);
+        let mut arrive = |number, budget| {
+            shedder.arrived(0.0, number, Invocation { budget: Some(budget), age: 0.1, ..told(0) });
+            shedder.invs[number].told.again
+        };
+        [arrive(0, 3.9), arrive(1, 2.95), arrive(2, 2.8), arrive(3, 1.9)]
+    };
+    assert_eq!(play("false"), [false, false, true, true]);
+    assert_eq!(play("true"), [false; 4], "where tries are marked the mark alone counts");
+}
