An allowance is divided by the callers that are here, not by all there are

Cause: with a thousand callers the value told was 0.01 to 0.02 a caller, so that those who heed it kept away, for as long as it is heeded, from just the server that had answered them and whose connection they hold. Line at fault: `each` in `tell`, divided by the clients of the whole site. It is divided now by the callers that came within the time for which the value is heeded.

Assumption that did not carry over: that all callers come to each server.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -874,7 +874,11 @@
         self.level_at = self.now;
         let good = self.leave_at.is_none() && !self.hangs();
         let level = if good { self.level } else { 1.0 };
-        let each = 2.0 * self.limit / self.num("FamilyInfo.ClientsTotal", 1.0).max(1.0);
+        // By those who came within the time for which it is heeded, not by all: a hundredth each turned away
+        // just those who knew this one. Harm: callers that come back all at once may each have that many.
+        let from = self.now - self.secs("FamilyInfo.HeededUs", 1.0);
+        let here = self.callers.values().filter(|&&last| last >= from).count().max(1);
+        let each = 2.0 * self.limit / here as f64;
         let value = match self.text("FamilyInfo.Say") {
             "floor" => Some(level.min(0.999)),
             "weight" => Some(1.0 - level),
--- a/crates/merlinshelf/src/shedder/tests.rs
+++ b/crates/merlinshelf/src/shedder/tests.rs
@@ -235,3 +235,20 @@
     assert_eq!(play("false"), [false, false, true, true]);
     assert_eq!(play("true"), [false; 4], "where tries are marked the mark alone counts");
 }
+
+#[test]
+fn an_allowance_is_divided_by_the_callers_that_are_here() {
+    let settings = [("FamilyInfo.Say", "allowance"), ("FamilyInfo.HeededUs", "1000000")];
+    let mut shedder = instance(&[settings[0], settings[1], ("FamilyInfo.ClientsTotal", "1000")]);
+    for (now, callers, each) in [(0.0, 0..4, 1.0), (2.0, 4..6, 2.0)] {
+        for caller in callers {
+            shedder.arrived(now, 0, Invocation { caller, budget: Some(0.0), ..told(0) });
+        }
+        shedder.woken(now + 0.3, 0, &[("cpu_busy".to_owned(), 0.5)].into());
+        assert_eq!(
+            shedder.told.and_then(|told| told.1),
+            Some(each),
+            "two cores, a limit of two, by those here"
+        );
+    }
+}
