A tokened operation is turned down by the wire's own reason before the module reads settings

The module names a missing window now; on this wire no window would help, so that the other message comes first, as it did.

--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -114,7 +114,6 @@
 
     /// Fails where the module can't read a setting, naming it.
     pub fn new(settings: Settings, seed: u64, memory_mb: u64) -> Result<Exchange, String> {
-        Shedder::start(0.0, seed, settings.clone())?;
         let count = settings.get("Classes.count").and_then(|count| count.parse().ok()).unwrap_or(0);
         let names = (0..count).map(|place| {
             let name: &str = settings.get(&format!("Classes.{place}.Name")).map_or("", String::as_str);
@@ -132,6 +131,7 @@
         if let Some(place) = (0..count).find(tokened) {
             return Err(format!("settings: Classes.{place}.Effect: repeats can't be known on this wire"));
         }
+        Shedder::start(0.0, seed, settings.clone())?;
         let operations = names.iter().enumerate().map(|(place, name)| (name.as_bytes().to_vec(), place));
         let meters = settings.get("FamilyInfo.Meters").map_or("", String::as_str);
         let idle = settings.get("FamilyInfo.CallerIdleUs").and_then(|us| us.parse().ok()).unwrap_or(0);
