--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -135,7 +135,8 @@
         let also = ["Total", "PerS", "Capacity", "Stretch", "Servers"];
         let number = |name: &str| numeric.iter().chain(&also).any(|end| name.ends_with(end));
         let unread = |text: &str| text.parse::<f64>().map_or(true, |value| !value.is_finite());
-        // What is no known word can't be taken for the harmless one: it is named.
+        let mut out = Decided::default();
+        // What is no known word is named, and taken for the strictest: it runs once, and nothing is halted.
         let words =
             [(".Effect", "read_like idempotency_key non_idempotent"), (".Halt", "silent discard freeze")];
         for (name, text) in &settings {
@@ -144,12 +145,12 @@
             }
             let known = words.iter().find(|(end, _)| name.ends_with(end)).map_or("", |(_, known)| known);
             if !known.is_empty() && known.split(' ').all(|word| word != text) {
-                return Err(format!("setting {name}={text:?} is none of: {known}"));
+                out.notes.push(format!("setting {name}={text:?} is none of: {known}"));
             }
         }
-        let rng = Some(Pcg32::seed_from_u64(seed));
         let mut new =
-            Shedder { settings, now, salt: seed, rng, born: now, busy_at: now, ..Shedder::default() };
+            Shedder { settings, now, out, salt: seed, born: now, busy_at: now, ..Shedder::default() };
+        new.rng = Some(Pcg32::seed_from_u64(seed));
         new.ops = (0..new.num("Classes.count", 0.0).max(1.0) as usize).map(|op| new.operation(op)).collect();
         if let Some(op) = new.ops.iter().position(|op| op.tokened && op.window <= 0.0) {
             return Err(format!(
--- a/crates/merlinshelf/src/shedder/tests.rs
+++ b/crates/merlinshelf/src/shedder/tests.rs
@@ -173,13 +173,9 @@
         let settings = settings.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
         Shedder::start(0.0, 1, settings).err().unwrap_or_default()
     };
-    for (name, value) in [
-        ("Classes.0.Effect", "idempotent-ish"),
-        ("Classes.0.MemorySpanUs", "0"),
-        ("FamilyInfo.Halt", "kill"),
-        ("Tenants.0.QuotaPerS", "many"),
-        ("Rules.StartCapacity", "half"),
-    ] {
+    for (name, value) in
+        [("Classes.0.MemorySpanUs", "0"), ("Tenants.0.QuotaPerS", "many"), ("Rules.StartCapacity", "half")]
+    {
         assert!(start(name, value).contains(name), "{name}={value}: {:?}", start(name, value));
     }
     assert!(
@@ -187,6 +183,18 @@
         "no window to keep tokens for"
     );
     assert_eq!(start("Classes.0.MemorySpanUs", "5000000"), "");
+    // No known word: named at the start and taken for the strictest.
+    let settings =
+        [("Classes.count", "1"), ("Classes.0.Effect", "idempotent-ish"), ("FamilyInfo.Halt", "kill")];
+    let settings = settings.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
+    let (mut shedder, decided) = Shedder::start(0.0, 1, settings).expect("it starts");
+    for (note, name) in decided.notes.iter().zip(["Classes.0.Effect", "FamilyInfo.Halt"]) {
+        assert!(note.contains(name), "{note}");
+    }
+    assert_eq!((decided.notes.len(), shedder.ops[0].idempotent, shedder.ops[0].tokened), (2, false, false));
+    shedder.arrived(0.0, 7, told(0));
+    let left = shedder.caller_left(0.1, 7);
+    assert_eq!((left.stopped, shedder.invocation(7).is_some()), (vec![], true), "what runs is not stopped");
 }
 
 #[test]
