Budgets: one way to look a budget up, one to ask whether what was told of a phase still holds

The budget of a kind was looked up by hand in six places (`Bank::shared`, `first`, `advance`, `budgets`, `check_against`, the backend's draw), two of which said the same of first calls; `kinds::budget_of` says it now. The end of a told phase was looked at in four places of `House` beside `Spender`'s `phase_at`; both call `recovery::phase_at`. Behaviour is as it was.

--- a/crates/merlinshelf-backend/src/exchange/budgets.rs
+++ b/crates/merlinshelf-backend/src/exchange/budgets.rs
@@ -9,7 +9,7 @@
 
 use log::{info, warn};
 use merlinshelf::{Spend, Stage};
-use merlinshelf_shares::{Asked, Budgets, CATALOGUE, Given, Kind, Lease, Left, Phase, Spender, purse};
+use merlinshelf_shares::{Asked, Budgets, CATALOGUE, Given, Kind, Lease, Left, Phase, Spender, kinds, purse};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::fs::{FlockOperation, flock};
@@ -141,7 +141,7 @@
 
     /// One call of what the host has set aside, where nothing else is left of it.
     fn draw(&mut self, now: f64, name: &str, kind: Kind) {
-        let aside = self.aside.get(name).and_then(|kinds| kinds.get(&kind)).copied().unwrap_or(0);
+        let aside = kinds::budget_of(&self.aside, name, kind).unwrap_or(0);
         let Some(folder) = self.folder.as_ref().filter(|_| aside > 0) else { return };
         let looked = self.looked_at.get(&(name.to_owned(), kind)).copied().unwrap_or(f64::NEG_INFINITY);
         if now < looked + LOOK_EVERY || !self.spender.lacks(now, name, kind) {
--- a/crates/merlinshelf-shares/src/bank.rs
+++ b/crates/merlinshelf-shares/src/bank.rs
@@ -4,7 +4,7 @@
 
 use crate::Lease;
 use crate::keeper::Keeper;
-use crate::kinds::{Budgets, Kind};
+use crate::kinds::{Budgets, Kind, budget_of};
 use crate::recovery::{Phase, Recovery};
 use crate::words::{Asked, Given, PlaceGiven};
 
@@ -57,7 +57,7 @@
 
     /// What may be shared out of a budget: all of it but what is set aside.
     fn shared(&self, name: &str, kind: Kind) -> u32 {
-        let of = |all: &Budgets| all.get(name).and_then(|kinds| kinds.get(&kind)).copied().unwrap_or(0);
+        let of = |all: &Budgets| budget_of(all, name, kind).unwrap_or(0);
         of(&self.budgets).saturating_sub(of(&self.aside).saturating_mul(self.hosts))
     }
 
@@ -65,7 +65,7 @@
     pub fn asked(&mut self, now: f64, host: &str, asked: &Asked) -> Given {
         for (name, of) in asked.places.iter().filter(|(name, _)| self.budgets.contains_key(*name)) {
             let of_zone = (name.clone(), asked.zone.clone());
-            let (lease, most) = (self.lease.lease_s, self.first(name));
+            let (lease, most) = (self.lease.lease_s, budget_of(&self.budgets, name, Kind::First));
             let fares = self.fares.entry(of_zone).or_insert_with(|| Recovery::new(now, lease, most));
             if let Some(phase) = of.phase {
                 fares.was(now, phase, most);
@@ -109,14 +109,10 @@
         shared.min(steps.fold(0, u32::saturating_add))
     }
 
-    /// The budget of first calls.
-    fn first(&self, name: &str) -> Option<u32> {
-        self.budgets.get(name).and_then(|kinds| kinds.get(&Kind::First)).copied()
-    }
-
     fn advance(&mut self, now: f64) {
-        let first = |name: &String| self.budgets.get(name).and_then(|kinds| kinds.get(&Kind::First)).copied();
-        self.fares.iter_mut().for_each(|((name, _), fares)| fares.advance(now, first(name)));
+        for ((name, _), fares) in &mut self.fares {
+            fares.advance(now, budget_of(&self.budgets, name, Kind::First));
+        }
     }
 
     /// By zone, how a dependency fares; for reports.
@@ -136,7 +132,7 @@
     pub fn budgets(&self) -> impl Iterator<Item = (&String, Kind, u32, u32)> {
         self.budgets.iter().flat_map(move |(name, kinds)| {
             kinds.iter().map(move |(kind, calls)| {
-                let aside = self.aside.get(name).and_then(|kinds| kinds.get(kind)).copied().unwrap_or(0);
+                let aside = budget_of(&self.aside, name, *kind).unwrap_or(0);
                 (name, *kind, *calls, aside)
             })
         })
--- a/crates/merlinshelf-shares/src/house.rs
+++ b/crates/merlinshelf-shares/src/house.rs
@@ -6,7 +6,7 @@
 use crate::holder::Holder;
 use crate::keeper::Keeper;
 use crate::kinds::{Budgets, Kind};
-use crate::recovery::{Phase, Sight};
+use crate::recovery::{Phase, Sight, phase_at};
 use crate::words::{Asked, Claim, Given, PlaceAsked, PlaceGiven, Rounds};
 
 #[derive(Clone, Debug, Default)]
@@ -71,8 +71,7 @@
                     // Told by an agent before this one: it is said on, and counts for nothing here.
                     place.phase = Some((phase, f64::NEG_INFINITY));
                 }
-                news |=
-                    of.sight.good > 0 && matches!(place.phase, Some((Phase::Fails, until)) if now < until);
+                news |= of.sight.good > 0 && phase_at(place.phase, now) == Some(Phase::Fails);
                 place.good = place.good.saturating_add(of.sight.good);
                 place.bad = place.bad.saturating_add(of.sight.bad);
                 place.sights.insert(instance.to_owned(), (now, of.sight));
@@ -90,7 +89,7 @@
         let asked = self.asked.remove(instance)?;
         let places = asked.places.iter().filter_map(|(name, of)| {
             let place = self.places.get_mut(name)?;
-            let phase = place.phase.filter(|(_, until)| now < *until).map(|(phase, _)| phase);
+            let phase = phase_at(place.phase, now);
             let mut shares = BTreeMap::new();
             for (kind, claim) in &of.claims {
                 let Some((holder, keeper)) = place.kinds.get_mut(kind) else { continue };
@@ -146,14 +145,12 @@
 
     /// How a dependency fares, as far as it is known here.
     pub fn phase(&self, now: f64, name: &str) -> Option<Phase> {
-        self.places.get(name)?.phase.filter(|(_, until)| now < *until).map(|(phase, _)| phase)
+        phase_at(self.places.get(name)?.phase, now)
     }
 
     /// Whether something does not fare well, as far as it is known: words of it are worth more than usual.
     pub fn is_busy(&self, now: f64) -> bool {
-        let busy =
-            |place: &Place| place.phase.is_some_and(|(phase, until)| now < until && phase != Phase::Well);
-        self.places.values().any(busy)
+        self.places.values().any(|place| phase_at(place.phase, now).is_some_and(|phase| phase != Phase::Well))
     }
 
     /// What is held of a kind, calls a second, and what of it each instance may be spending; for reports.
--- a/crates/merlinshelf-shares/src/kinds.rs
+++ b/crates/merlinshelf-shares/src/kinds.rs
@@ -36,6 +36,11 @@
 /// By dependency and kind, calls a second. What is not named is not bounded.
 pub type Budgets = BTreeMap<String, BTreeMap<Kind, u32>>;
 
+/// What a budget is; none: this kind is not bounded.
+pub fn budget_of(budgets: &Budgets, name: &str, kind: Kind) -> Option<u32> {
+    budgets.get(name)?.get(&kind).copied()
+}
+
 /// The dependency that calls go to where the operators tell none apart.
 pub const CATALOGUE: &str = "catalogue";
 
@@ -73,13 +78,13 @@
     let mut whys = Vec::new();
     for (name, kinds) in budgets {
         for (kind, calls) in kinds {
-            let aside = base.get(name).and_then(|kinds| kinds.get(kind));
+            let aside = budget_of(base, name, *kind);
             let place = format!("budgets.{name}.{}", kind.name());
             match (aside, hosts) {
                 (None, _) => whys.push(format!(
                     "{place}: the base policy has none, so that whoever is cut off would spend without bound"
                 )),
-                (Some(aside), Some(hosts)) if u64::from(*aside) * u64::from(hosts) > u64::from(*calls) => {
+                (Some(aside), Some(hosts)) if u64::from(aside) * u64::from(hosts) > u64::from(*calls) => {
                     whys.push(format!(
                         "{place}: {calls} a second are fewer than the {aside} that the base policy sets aside for each of \
                          {hosts} hosts"
--- a/crates/merlinshelf-shares/src/recovery.rs
+++ b/crates/merlinshelf-shares/src/recovery.rs
@@ -18,6 +18,11 @@
     Fails,
 }
 
+/// What was told, as long as it holds: with the time until which it does.
+pub(crate) fn phase_at(told: Option<(Phase, f64)>, now: f64) -> Option<Phase> {
+    told.filter(|(_, until)| now < *until).map(|(phase, _)| phase)
+}
+
 /// What is seen of a dependency.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/merlinshelf-shares/src/spender.rs
+++ b/crates/merlinshelf-shares/src/spender.rs
@@ -7,7 +7,7 @@
 use crate::Lease;
 use crate::holder::Holder;
 use crate::kinds::{Budgets, Kind};
-use crate::recovery::{Phase, Sight};
+use crate::recovery::{Phase, Sight, phase_at};
 use crate::words::{Asked, Given, PlaceAsked, Rounds};
 
 /// After a dependency has come back, first calls stay bounded for so long where nobody says how it fares for others, seconds.
@@ -260,7 +260,7 @@
 
 impl Place {
     fn phase_at(&self, now: f64) -> Option<Phase> {
-        self.phase.filter(|(_, until)| now < *until).map(|(phase, _)| phase)
+        phase_at(self.phase, now)
     }
 
     /// First calls are bounded while it returns, and for a while where it is not known any more how it fares.
