Laboratory: one wait for the end of a host's plan, one median of the trials

The trials of shares and of the fleet had three medians of their own; `trial::median` serves both, with what each says of none.

--- a/crates/merlinshelf-cli/tests/fleet.rs
+++ b/crates/merlinshelf-cli/tests/fleet.rs
@@ -144,14 +144,8 @@
             rig.agent()?;
         }
         rig.when("serving", 4).await?;
-        loop {
-            let (_, plan) = last(&rig, json!({ "op": "plan" })).await?;
-            if plan["over"] == true {
-                assert_eq!(plan["state"], "done", "{plan}\n{}", rig.history().await?);
-                break;
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
+        let plan = plan_over(&rig).await?;
+        assert_eq!(plan["state"], "done", "{plan}\n{}", rig.history().await?);
         assert_eq!(names_where(&rig, |one| one["program"] == program.as_str()).await?.len(), 4);
         assert_eq!(rig.processes().len(), 4);
         let history = rig.history().await?;
--- a/crates/merlinshelf-cli/tests/policy.rs
+++ b/crates/merlinshelf-cli/tests/policy.rs
@@ -296,15 +296,8 @@
         }
         assert!(changes.iter().all(|change| change.held), "{changes:?}");
         for host in &all.hosts {
-            loop {
-                let plan =
-                    host.ask(&json!({ "op": "plan" })).await?.pop().map(|(_, plan)| plan).unwrap_or_default();
-                if plan["over"] == true {
-                    assert_eq!(plan["state"], "done", "{plan}");
-                    break;
-                }
-                sleep(Duration::from_millis(50)).await;
-            }
+            let plan = host.plan_over().await?;
+            assert_eq!(plan["state"], "done", "{plan}");
         }
         ends_clean(&all, playing, &changes).await;
         Ok(())
--- a/crates/merlinshelf-cli/tests/shares.rs
+++ b/crates/merlinshelf-cli/tests/shares.rs
@@ -400,15 +400,8 @@
             host.ask(&json!({ "op": "upgrade", "program": program })).await?;
         }
         for host in &fleet.all.hosts {
-            loop {
-                let plan =
-                    host.ask(&json!({ "op": "plan" })).await?.pop().map(|(_, plan)| plan).unwrap_or_default();
-                if plan["over"] == true {
-                    assert_eq!(plan["state"], "done", "{plan}");
-                    break;
-                }
-                pause(0.05).await;
-            }
+            let plan = host.plan_over().await?;
+            assert_eq!(plan["state"], "done", "{plan}");
         }
         fleet.probes_hold(known);
         fleet.door.does(Manners::Well);
--- a/crates/merlinshelf-lab/src/installation.rs
+++ b/crates/merlinshelf-lab/src/installation.rs
@@ -194,6 +194,21 @@
         ask_agent(&self.socket(), body, PATIENCE).await
     }
 
+    /// Waits for the end of its plan, and says how that stands.
+    ///
+    /// # Errors
+    /// It does not answer.
+    pub async fn plan_over(&self) -> io::Result<Value> {
+        loop {
+            let plan =
+                self.ask(&json!({ "op": "plan" })).await?.pop().map(|(_, plan)| plan).unwrap_or_default();
+            if plan["over"] == true {
+                return Ok(plan);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// One question about policies, and its last word.
     ///
     /// # Errors
--- a/crates/merlinshelf-lab/src/trial/fleet.rs
+++ b/crates/merlinshelf-lab/src/trial/fleet.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
+use super::median;
 use crate::fleet::{Rig, sum};
 use crate::instance::signal;
 use crate::load::{Load, Playing, Verdict};
@@ -181,8 +182,7 @@
         rig.status().await?;
         times.push(from.elapsed().as_secs_f64() * 1e3);
     }
-    times.sort_by(f64::total_cmp);
-    Ok((share, memory, times[times.len() / 2]))
+    Ok((share, memory, median(&mut times).unwrap_or(f64::NAN)))
 }
 
 /// Plays all seeds; the last line, and whether the rules held.
@@ -206,11 +206,7 @@
         plains.push(plain / before.max(1e-9));
         all = sum(&[all, verdict]);
     }
-    let median = |values: &mut Vec<f64>| {
-        values.sort_by(f64::total_cmp);
-        values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
-    };
-    let (ratio, plain) = (median(&mut ratios), median(&mut plains));
+    let [ratio, plain] = [&mut ratios, &mut plains].map(|values| median(values).unwrap_or(f64::NAN));
     let mut costs = Vec::new();
     for (number, count) in [(240, 20), (241, 200)] {
         let (share, memory_kb, status_ms) = cost(plan, count, number).await?;
--- a/crates/merlinshelf-lab/src/trial/mod.rs
+++ b/crates/merlinshelf-lab/src/trial/mod.rs
@@ -13,3 +13,9 @@
 pub mod shares_size;
 pub mod upgrade;
 pub mod uwsgi;
+
+/// The middle of these, the upper one of two; none of none.
+fn median(values: &mut [f64]) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
--- a/crates/merlinshelf-lab/src/trial/shares.rs
+++ b/crates/merlinshelf-lab/src/trial/shares.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
+use super::median;
 use crate::budgets::{Door, OPENED, PROBES, aside, hold, policy, worst_second};
 use crate::installation::{Installation, Made, check};
 use crate::instance::signal;
@@ -257,11 +258,6 @@
     Ok(played)
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(0.0)
-}
-
 /// The mean with half of its 95% interval.
 fn mean(values: &[f64]) -> (f64, f64) {
     let count = values.len().max(1) as f64;
@@ -304,8 +300,8 @@
             |kind: &str| played.iter().filter_map(|one| one.worst.get(kind)).copied().fold(0.0, f64::max);
         let failing: Vec<f64> =
             played.iter().filter(|one| one.worst.contains_key("probes")).map(|one| one.probes_s).collect();
-        let back: Vec<f64> = played.iter().map(|one| one.back_s.unwrap_or(LOOKED_AFTER)).collect();
-        let seen =
+        let mut back: Vec<f64> = played.iter().map(|one| one.back_s.unwrap_or(LOOKED_AFTER)).collect();
+        let mut seen: Vec<f64> =
             played.iter().filter(|one| one.worst.contains_key("probes")).map(|one| one.seen_s).collect();
         let ours = all.get(&Way::Shares);
         let ratios: Vec<f64> = ours.map_or(Vec::new(), |ours| {
@@ -322,8 +318,8 @@
             kinds[2],
             kinds[3],
             mean(&failing).0,
-            median(seen),
-            median(back),
+            median(&mut seen).unwrap_or(0.0),
+            median(&mut back).unwrap_or(0.0),
             ratio,
             half
         );
