Module: one way to keep samples; callers are counted and halts read only where it matters

`asked` kept its last 24 by hand beside `sample`, which takes any kind now. Tests of the module build settings and gauges in one place; what they assert stays.

--- a/crates/merlinshelf/src/shedder.rs
+++ b/crates/merlinshelf/src/shedder.rs
@@ -106,7 +106,7 @@
 }
 
 /// Keeps the last few samples. 24 spans a second or two of a busy operation: recent, not jumpy.
-fn sample(samples: &mut VecDeque<f64>, value: f64) {
+fn sample<T>(samples: &mut VecDeque<T>, value: T) {
     if samples.len() == 24 {
         samples.pop_front();
     }
@@ -311,8 +311,8 @@
         told.repeats &= !told.earlier.is_some_and(|earlier| self.unrun.contains(&earlier));
         self.invs.resize_with(self.invs.len().max(inv + 1), Inv::default);
         self.invs[inv] = Inv { told, arrived, due, by, since: now, over_share, ..Inv::default() };
-        self.asked.truncate(23);
-        self.asked.push_front((now, self.core_time(&self.invs[inv])));
+        let work = self.core_time(&self.invs[inv]);
+        sample(&mut self.asked, (now, work));
         self.live.push(inv);
         self.turned.push(false); // cleared at every telling
         self.settle()
@@ -497,8 +497,8 @@
 
     fn unwanted_run(&self) -> Option<usize> {
         let waste = |it: &Inv| it.answered && it.stage == Stage::Running && !it.stopping;
-        let halts = matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze");
-        self.first(|it| halts && waste(it) && self.ops[it.told.operation].idempotent)
+        let found = self.first(|it| waste(it) && self.ops[it.told.operation].idempotent);
+        found.filter(|_| matches!(self.text("FamilyInfo.Halt"), "discard" | "freeze"))
     }
 
     /// Unmarked further tries show by what this one turns away of the last that it decided on.
@@ -878,12 +878,11 @@
         // By those who came within the time for which it is heeded, not by all: a hundredth each turned away
         // just those who knew this one. Harm: callers that come back all at once may each have that many.
         let from = self.now - self.secs("FamilyInfo.HeededUs", 1.0);
-        let here = self.callers.values().filter(|&&last| last >= from).count().max(1);
-        let each = 2.0 * self.limit / here as f64;
+        let here = || self.callers.values().filter(|&&last| last >= from).count().max(1) as f64;
         let value = match self.text("FamilyInfo.Say") {
             "floor" => Some(level.min(0.999)),
             "weight" => Some(1.0 - level),
-            "allowance" => Some(each * (1.0 - level)),
+            "allowance" => Some(2.0 * self.limit / here() * (1.0 - level)),
             _ => None,
         };
         let idle = self.keep_idle();
@@ -895,8 +894,8 @@
 
     /// What the last arrivals ask for, as a part of what the cores can do, whatever is then decided.
     fn demand(&self) -> f64 {
-        let since = self.asked.back().map_or(0.0, |&(at, _)| self.now - at).max(1e-9);
-        self.asked.iter().map(|&(_, work)| work).sum::<f64>() / (self.cores() * since)
+        let since = self.asked.front().map_or(0.0, |&(at, _)| self.now - at).max(1e-9);
+        self.asked.iter().rev().map(|&(_, work)| work).sum::<f64>() / (self.cores() * since)
     }
 
     /// How long idle connections stay: a third of the callers' own time while half of the last callers had
--- a/crates/merlinshelf/src/shedder/tests.rs
+++ b/crates/merlinshelf/src/shedder/tests.rs
@@ -2,11 +2,18 @@
 
 use super::*;
 
+fn read<'a>(settings: impl IntoIterator<Item = &'a (&'a str, &'a str)>) -> Settings {
+    settings.into_iter().map(|&(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn gauges(busy: f64) -> BTreeMap<String, f64> {
+    [("cpu_busy".to_owned(), busy)].into()
+}
+
 #[test]
 fn callers_that_are_always_new_do_not_fill_the_memory() {
     let settings = [("Classes.count", "1"), ("FamilyInfo.CallerIdleUs", "30000000")];
-    let settings = settings.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
-    let (mut shedder, _) = Shedder::start(0.0, 1, settings).expect("settings that are read");
+    let (mut shedder, _) = Shedder::start(0.0, 1, read(&settings)).expect("settings that are read");
     let mut most = 0;
     // Two a millisecond for a while, then ten a second; one comes back all the time and stays known.
     for number in 0..20_000u32 {
@@ -45,8 +52,7 @@
         ("Allowed.RetryAfter", "true"),
         ("Allowed.MaxRetryAfterUs", "1000000"),
     ];
-    let settings = base.iter().chain(extra).map(|&(name, value)| (name.to_owned(), value.to_owned()));
-    Shedder::start(0.0, 1, settings.collect()).expect("settings that are read").0
+    Shedder::start(0.0, 1, read(base.iter().chain(extra))).expect("settings that are read").0
 }
 
 fn told(operation: usize) -> Invocation {
@@ -88,7 +94,7 @@
         }),
         ("cut by group over the limit", || {
             let mut shedder = instance(&[]);
-            shedder.woken(0.0, 0, &[("cpu_busy".to_owned(), 1.0)].into());
+            shedder.woken(0.0, 0, &gauges(1.0));
             for number in 0..2 {
                 shedder.arrived(0.0, number, told(0));
             }
@@ -170,8 +176,7 @@
 fn settings_that_the_second_rule_rests_on_are_never_read_as_the_harmless_ones() {
     let start = |name: &str, value: &str| {
         let settings = [("Classes.count", "1"), ("Classes.0.Effect", "idempotency_key"), (name, value)];
-        let settings = settings.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
-        Shedder::start(0.0, 1, settings).err().unwrap_or_default()
+        Shedder::start(0.0, 1, read(&settings)).err().unwrap_or_default()
     };
     for (name, value) in
         [("Classes.0.MemorySpanUs", "0"), ("Tenants.0.QuotaPerS", "many"), ("Rules.StartCapacity", "half")]
@@ -186,8 +191,7 @@
     // No known word: named at the start and taken for the strictest.
     let settings =
         [("Classes.count", "1"), ("Classes.0.Effect", "idempotent-ish"), ("FamilyInfo.Halt", "kill")];
-    let settings = settings.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
-    let (mut shedder, decided) = Shedder::start(0.0, 1, settings).expect("it starts");
+    let (mut shedder, decided) = Shedder::start(0.0, 1, read(&settings)).expect("it starts");
     for (note, name) in decided.notes.iter().zip(["Classes.0.Effect", "FamilyInfo.Halt"]) {
         assert!(note.contains(name), "{note}");
     }
@@ -201,25 +205,22 @@
 fn long_runs_on_busy_cores_are_no_hang() {
     let mut shedder = with_one_held(0, 7);
     for (busy, healthy) in [(1.0, true), (0.1, false)] {
-        let gauges = [("cpu_busy".to_owned(), busy)].into();
-        shedder.woken(if healthy { 0.97 } else { 0.98 }, 0, &gauges);
+        shedder.woken(if healthy { 0.97 } else { 0.98 }, 0, &gauges(busy));
         assert_eq!(shedder.told.map(|told| told.0), Some(healthy), "{busy}");
     }
 }
 
 #[test]
 fn unmarked_further_tries_show_by_refusals_and_keep_connections() {
-    let settings = [("FamilyInfo.CallerIdleUs", "30000000"), ("Callers.MarksRetry", "false")];
     let play = |marks: &str| {
-        let mut shedder = instance(&[settings[0], (settings[1].0, marks)]);
-        shedder.woken(0.0, 0, &[("cpu_busy".to_owned(), 1.0)].into());
+        let mut shedder = instance(&[("FamilyInfo.CallerIdleUs", "30000000"), ("Callers.MarksRetry", marks)]);
+        shedder.woken(0.0, 0, &gauges(1.0));
         shedder.arrived(0.0, 0, told(0));
         shedder.ended(0.3, 0, Outcome { succeeded: true, ..Outcome::default() }, 0.3);
         let mut last = false;
         for number in 0..60 {
             let now = 0.31 + 0.01 * number as f64;
-            let gauges = [("cpu_busy".to_owned(), 1.0)].into();
-            shedder.woken(now, 0, &gauges);
+            shedder.woken(now, 0, &gauges(1.0));
             let caller = number as u64;
             let decided = shedder.arrived(now, number, Invocation { caller, ..told(0) });
             last = decided.throttled.first().map_or(last, |answer| answer.2);
@@ -246,13 +247,16 @@
 
 #[test]
 fn an_allowance_is_divided_by_the_callers_that_are_here() {
-    let settings = [("FamilyInfo.Say", "allowance"), ("FamilyInfo.HeededUs", "1000000")];
-    let mut shedder = instance(&[settings[0], settings[1], ("FamilyInfo.ClientsTotal", "1000")]);
+    let mut shedder = instance(&[
+        ("FamilyInfo.Say", "allowance"),
+        ("FamilyInfo.HeededUs", "1000000"),
+        ("FamilyInfo.ClientsTotal", "1000"),
+    ]);
     for (now, callers, each) in [(0.0, 0..4, 1.0), (2.0, 4..6, 2.0)] {
         for caller in callers {
             shedder.arrived(now, 0, Invocation { caller, budget: Some(0.0), ..told(0) });
         }
-        shedder.woken(now + 0.3, 0, &[("cpu_busy".to_owned(), 0.5)].into());
+        shedder.woken(now + 0.3, 0, &gauges(0.5));
         let value = Some(each * (1.0 - shedder.level));
         assert_eq!(shedder.told.and_then(|told| told.1), value, "twice a limit of two, by those here");
     }
