--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import secrets
 import shutil
 import signal
@@ -16,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = "target/release/merlinshelf"
@@ -52,44 +54,17 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def free_port_range(count):
-    """The first of `count` adjacent free ports."""
-    for _ in range(200):
-        first = free_port()
-        if first + count >= 40000:
-            continue
-        probes = []
-        try:
-            for port in range(first, first + count):
-                probe = socket.socket()
-                probes.append(probe)
-                probe.bind(("127.0.0.1", port))
-            return first
-        except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
-    # The system hands out ports above 40000 on some machines.
-    for first in range(21000, 39000, 50):
-        probes = []
-        try:
-            for port in range(first, first + count):
-                probe = socket.socket()
-                probes.append(probe)
+    """A free port below those that the system gives to outgoing connections: an instance that is
+    started anew must find its own port free."""
+    for _ in range(1000):
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
                 probe.bind(("127.0.0.1", port))
-            return first
-        except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
-    raise CannotRun("no adjacent free ports")
+                return port
+            except OSError:
+                continue
+    raise CannotRun("no free port")
 
 
 def example_config():
@@ -104,12 +79,6 @@
         pass  # the event loop has ended
 
 
-async def ended(process, timeout):
-    """Waits for the end of a process without stopping the stand-ins; its status."""
-    await wait_for(lambda: process.poll() is not None, timeout, f"process {process.pid} ends")
-    return process.returncode
-
-
 class Engine:
     """The engine of one backend: runs take `run_ms` of real time; operations in `calling` make as
     many calls to the back end as it says, in the middle of the run."""
@@ -299,53 +268,6 @@
             close_quietly(writer)
 
 
-class Proxy:
-    """Passes connections on to `target` until it is cut; then it ends them and all new ones."""
-
-    def __init__(self, target):
-        self.target, self.is_cut, self.writers = target, False, set()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def serve(self, reader, writer):
-        if self.is_cut:
-            return close_quietly(writer)
-        try:
-            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
-        except OSError:
-            return close_quietly(writer)
-        pair = {writer, far_writer}
-        self.writers |= pair
-        try:
-            await asyncio.gather(self.copy(reader, far_writer), self.copy(far_reader, writer))
-        except asyncio.CancelledError:
-            pass
-        finally:
-            self.writers -= pair
-            for end in pair:
-                close_quietly(end)
-
-    async def copy(self, reader, writer):
-        try:
-            while data := await reader.read(65536):
-                writer.write(data)
-                await writer.drain()
-        except ConnectionError:
-            pass
-        close_quietly(writer)
-
-    def cut(self):
-        self.is_cut = True
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-    def heal(self):
-        self.is_cut = False
-
-
 def fastcgi_record(kind, request, content):
     return struct.pack(">BBHHBB", 1, kind, request, len(content), 0, 0) + content
 
@@ -473,7 +395,6 @@
         self.record = Record(folder)
         self.temp = tempfile.mkdtemp(prefix="merlinshelf-review-")
         self.processes = []
-        self.marked = []
         if not os.access(os.path.join(ROOT, PROGRAM), os.X_OK):
             raise CannotRun(f"{PROGRAM} is not built")
 
@@ -578,20 +499,24 @@
 def main(play, file):
     """Plays a case and exits with its verdict."""
     folder = os.path.dirname(os.path.abspath(file))
-    case = None
+    case, verdict = None, NOT_RUN
     try:
         case = Case(folder)
-        verdict = asyncio.run(asyncio.wait_for(play(case), 110))
+        loop = asyncio.new_event_loop()
+        verdict = loop.run_until_complete(asyncio.wait_for(play(case), 110))
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
-        verdict = NOT_RUN
         if case:
             case.record.line(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}", file=sys.stderr)
+    except Exception:
+        # Status 1 is for a broken rule alone.
+        traceback.print_exc()
     finally:
         if case:
             case.close()
     words = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "could not run"}
     if case:
         case.record.line(words[verdict])
-    print(words[verdict])
-    sys.exit(verdict)
+    print(words[verdict], flush=True)
+    # At once: the stand-ins' connections need no orderly end.
+    os._exit(verdict)
