--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -90,10 +90,12 @@
 class Engine:
     """Runs requests for `seconds[class]` on `cores` cores. Notices are numbered and kept."""
 
-    def __init__(self, record, cores=2, seconds=None):
+    def __init__(self, record, cores=2, seconds=None, calls=None):
         self.record = record
         self.cores = cores
         self.seconds = seconds or {}
+        self.calls = calls or {}  # by class, how many calls a run makes
+        self.awaited = {}  # id -> (number of the notice, how the call ends)
         self.started_at = time.time()
         self.is_up = asyncio.Event()
         self.is_up.set()
@@ -137,6 +139,10 @@
             writer.write(f"STATS {words[1]} {load:.3f} {self.busy} 0.1 4\r\n".encode())
         elif words[0] == "RUN":
             self.run(words[1], words[2], body)
+        elif words[0] == "FEED" and words[1] in self.awaited:
+            self.awaited.pop(words[1])[1].set_result(body)
+        elif words[0] == "SKIP" and self.awaited.get(words[1], (None,))[0] == int(words[2]):
+            self.awaited.pop(words[1])[1].set_result(None)
         else:
             writer.write(f"NO {words[0]} {words[1]}\r\n".encode())
 
@@ -158,10 +164,19 @@
             took = self.takes(operation, body)
             await asyncio.sleep(took)
             self.busy -= 1
-        self.ended.add(id)
         result = b"result of " + id.encode() + b" " + body
+        for call in range(self.calls.get(operation, 0)):
+            reply = await self.need(id, f"call {call} of {id}".encode())
+            result += b", without a reply" if reply is None else b", with " + reply
+        self.ended.add(id)
         self.notify(lambda n: f"DONE {n} {id} OK {took * 1e3:.0f} {len(result)}\r\n".encode() + result + b"\r\n")
 
+    async def need(self, id, body):
+        reply = asyncio.get_running_loop().create_future()
+        self.awaited[id] = (self.notices[-1][0] + 1 if self.notices else 1, reply)
+        self.notify(lambda n: f"NEED {n} {id} {len(body)}\r\n".encode() + body + b"\r\n")
+        return await reply
+
     def notify(self, text):
         number = self.notices[-1][0] + 1 if self.notices else 1
         self.notices.append((number, text(number)))
@@ -193,6 +208,9 @@
 class BackEnd:
     """The back end that all share: each call succeeds."""
 
+    def __init__(self, name="reply", seconds=0.0):
+        self.name, self.seconds, self.calls = name, seconds, 0
+
     async def start(self):
         self.server, self.address = await listen(self.serve)
 
@@ -202,7 +220,9 @@
                 words = line.decode().split()
                 if words[0] == "invoke":
                     body = (await reader.readexactly(int(words[3]) + 2))[:-2]
-                    reply = b"reply to " + body
+                    self.calls += 1
+                    await asyncio.sleep(self.seconds)
+                    reply = self.name.encode() + b" to " + body
                     writer.write(f"{words[1]} ok {len(reply)}\r\n".encode() + reply + b"\r\n")
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
@@ -333,6 +353,7 @@
             self.record(f"{self.name}: an answer to {id}, which is not open")
             return
         head, _, body = self.parts.pop(id, b"").partition(b"\r\n\r\n")
+        request.head = head.decode()
         found = re.search(rb"Status: (\d+)", head)
         status = int(found.group(1)) if found else {2: 503}.get(protocol_status, 500)
         request.finish("answer", status, body)
