Engine link: send commands again that were read less than 50 ms before a break

Callers saw 500 at the due time for a request whose RUN was lost with the link, and after as many such breaks as the engine has cores nothing was served any more.

Cause: the response to a later STAT was taken as proof that a command was carried out. It proves only that the command was read; by the protocol an engine may lose what it read in the last 50 ms before a break. The RUN was not repeated, and the run never ended.

A command is now acknowledged by a request sent 50 ms or more after the command was known to have been read, and answered on the same link. The bookkeeping moves from client/engine.rs to a module of its own.

Test: a_run_that_the_engine_read_just_before_its_link_broke_is_sent_again failed with the program before (no second RUN in 300 ms), passes now.

--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -2,7 +2,6 @@
 //! notification that was read.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -19,6 +18,7 @@
 use tokio::select;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::unacknowledged::{SentCommand, UnacknowledgedCommands};
 use super::{PeersReceiver, connect, invalid_message};
 use crate::exchange::{Command, FrozenConnection, Shared, monotonic_seconds, pass_to_predecessor};
 use crate::fault;
@@ -43,10 +43,8 @@
     exchange: Shared,
     /// The number of the last notification that was read.
     last_notification: u64,
-    /// Commands sent and not known to have been read: the tag of the next request, whose response
-    /// proves that the command was read; the command; and how many notifications of its invocation
-    /// had been received.
-    unacknowledged: VecDeque<(u64, Command, u64)>,
+    /// Commands that are lost if the connection ends.
+    unacknowledged: UnacknowledgedCommands,
     last_request_tag: u64,
     /// Whether the next connection offers that calls name their dependency. An engine that does not
     /// know the extension closes such a connection.
@@ -89,7 +87,7 @@
     let mut client = Client {
         exchange,
         last_notification: 0,
-        unacknowledged: VecDeque::new(),
+        unacknowledged: UnacknowledgedCommands::default(),
         last_request_tag: 0,
         offers_names,
         started_at: None,
@@ -233,14 +231,16 @@
         self.started_at = record
             .engine_started_at
             .and_then(|started_at| now.checked_sub(age(started_at)));
-        // The next response proves that they were read; if the connection fails before, they are
-        // treated as lost.
+        // The next response proves that they were read.
         let proof = self.last_request_tag + 1;
         let inherited = self.exchange.borrow_mut().take_inherited_commands();
-        self.unacknowledged = inherited
-            .into_iter()
-            .map(|(command, received_notifications)| (proof, command, received_notifications))
-            .collect();
+        for (command, received_notifications) in inherited {
+            let sent = SentCommand {
+                command,
+                received_notifications,
+            };
+            self.unacknowledged.push(sent, proof);
+        }
         let (socket, stream, address) = (socket?, record.stream?, record.address.parse().ok()?);
         let Flow {
             read_bytes,
@@ -404,11 +404,11 @@
                     engine::write_skip(&mut connection.write_buffer, *id, *need)
                 }
             }
-            self.unacknowledged.push_back((
-                self.last_request_tag + 1,
+            let sent = SentCommand {
                 command,
                 received_notifications,
-            ));
+            };
+            self.unacknowledged.push(sent, self.last_request_tag + 1);
         }
     }
 
@@ -497,41 +497,39 @@
                 info!("the engine notes: {}", text.escape_ascii())
             }
             EngineNotification::Stats { tag, ref gauges } => {
-                let age = connection
-                    .requested_at
-                    .take()
-                    .map_or(Duration::MAX, |requested_at| requested_at.elapsed());
+                let requested_at = connection.requested_at.take();
+                let age = requested_at.map_or(Duration::MAX, |requested_at| requested_at.elapsed());
                 exchange.gauges_received(gauges, age);
                 drop(exchange);
-                self.gauges_answered(connection, tag);
+                match requested_at {
+                    Some(requested_at) if connection.is_caught_up => {
+                        self.acknowledge_commands(tag, requested_at);
+                    }
+                    _ => self.end_replay(connection),
+                }
             }
         }
     }
 
-    /// The request with this tag was answered: everything sent before it has been read. The first
-    /// response on a connection also ends the replay: commands sent on the previous connection that
-    /// are still unacknowledged may be lost.
-    fn gauges_answered(&mut self, connection: &mut Connection, tag: u64) {
-        if connection.is_caught_up {
-            while self
-                .unacknowledged
-                .front()
-                .is_some_and(|(proof, ..)| *proof <= tag)
-            {
-                if let Some((_, command, received_notifications)) = self.unacknowledged.pop_front()
-                {
-                    self.exchange
-                        .borrow_mut()
-                        .command_acknowledged(&command, received_notifications);
-                }
-            }
+    /// The request with this tag, sent at `requested_at`, was answered.
+    fn acknowledge_commands(&mut self, tag: u64, requested_at: Instant) {
+        let now = Instant::now();
+        let acknowledged = self.unacknowledged.request_answered(tag, requested_at, now);
+        let mut exchange = self.exchange.borrow_mut();
+        for sent in acknowledged {
+            exchange.command_acknowledged(&sent.command, sent.received_notifications);
+        }
+    }
+
+    /// The first response on a connection ends the replay: commands sent on the previous connection
+    /// that are still unacknowledged may be lost.
+    fn end_replay(&mut self, connection: &mut Connection) {
+        if std::mem::replace(&mut connection.is_caught_up, true) {
             return;
         }
-        connection.is_caught_up = true;
-        for (_, command, received_notifications) in std::mem::take(&mut self.unacknowledged) {
-            self.exchange
-                .borrow_mut()
-                .command_lost(command, received_notifications);
+        let mut exchange = self.exchange.borrow_mut();
+        for sent in self.unacknowledged.take_all() {
+            exchange.command_lost(sent.command, sent.received_notifications);
         }
     }
 }
--- a/crates/merlinshelf-backend/src/client/mod.rs
+++ b/crates/merlinshelf-backend/src/client/mod.rs
@@ -4,6 +4,7 @@
 pub mod catalogue;
 pub mod engine;
 pub mod registration;
+mod unacknowledged;
 
 use std::io;
 use std::net::SocketAddr;
