Client connections: a slow or unsound request doesn't end the reading for others

Callers saw requests that were written whole to an open connection and never answered, whenever another client's request on it arrived slowly.

Cause: the timeout of one partial request stopped the reading of the whole connection while others were unanswered; so did 16 faults in a row and 256 KiB of skipped bytes. What was written until the close was discarded unread.

Only what is overdue is rejected now, and a connection ends for a timeout or a limit only when nothing on it is unanswered; partial requests get an answer before that. This works since FastCGI keeps its framing through all of these.

--- a/crates/merlinshelf-backend/src/server/assembly.rs
+++ b/crates/merlinshelf-backend/src/server/assembly.rs
@@ -1,6 +1,7 @@
 //! Invocations of one connection that are still being read.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use merlinshelf_handover::records;
 use tokio::time::Instant;
@@ -66,6 +67,17 @@
         self.0.values().map(|partial| partial.started_at).min()
     }
 
+    /// Removes and returns those that began at least `timeout` before `now`.
+    pub fn take_overdue(
+        &mut self,
+        now: Instant,
+        timeout: Duration,
+    ) -> Vec<(u16, PartialInvocation)> {
+        self.0
+            .extract_if(|_, partial| now >= partial.started_at + timeout)
+            .collect()
+    }
+
     pub fn take_all(&mut self) -> Vec<(u16, PartialInvocation)> {
         self.0.drain().collect()
     }
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -49,8 +49,9 @@
 const MAX_UNASSIGNED_BYTES: usize = 256 * 1024;
 /// How long a connection that lingers skips what it still receives.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
-/// A connection ends after this many faults since its last success. Each fault delays the next read
-/// for longer, so that a client that repeats a faulty request takes no time from others.
+/// A connection on which nothing is unanswered ends after this many faults since its last success.
+/// Each fault delays the next read for longer, so that a client that repeats a faulty request takes
+/// no time from others.
 const MAX_FAULTS: u32 = 16;
 const FAULT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -277,6 +278,7 @@
                 return Ok(());
             }
             self.write_answers();
+            self.end_if_limits_exceeded();
             if !self.write_buffer.is_empty() {
                 self.journal_state();
             }
@@ -389,32 +391,40 @@
         );
     }
 
-    /// When an incomplete message must be complete.
+    /// When something that is incomplete must be complete. While other invocations are unanswered,
+    /// only partial invocations have a deadline: the connection stays open for the others.
     fn read_deadline(&self) -> Option<Instant> {
+        let message_started_at = self.incomplete_since.filter(|_| self.unanswered.is_empty());
         let started_at = self
             .assembly
             .oldest_start()
             .into_iter()
-            .chain(self.incomplete_since)
+            .chain(message_started_at)
             .min();
         started_at
             .filter(|_| !self.is_read_closed)
             .map(|started_at| started_at + READ_TIMEOUT)
     }
 
-    /// A message was not completed in time. Partial invocations are answered with 408, and nothing
-    /// more is read.
+    /// Something was not completed in time. Partial invocations that are overdue are answered with
+    /// 408. The connection ends unless it carries other invocations or has served an edge node.
     fn read_timed_out(&mut self) {
-        for (id, partial) in self.assembly.take_all() {
+        let now = Instant::now();
+        for (id, partial) in self.assembly.take_overdue(now, READ_TIMEOUT) {
             self.reject(
                 id,
                 partial.keeps_connection,
                 Rejection::new(408, "it was not received completely in time"),
             );
-            self.must_linger = true;
         }
-        self.count_bad_request();
-        self.stop_reading();
+        let is_message_overdue = self
+            .incomplete_since
+            .is_some_and(|since| now >= since + READ_TIMEOUT);
+        let serves_nobody = self.assembly.len() == 0 && self.received != ReceivedKind::Invocations;
+        if self.unanswered.is_empty() && (is_message_overdue || serves_nobody) {
+            self.count_bad_request();
+            self.end_reading(408);
+        }
     }
 
     fn count_bad_request(&self) {
@@ -493,25 +503,46 @@
             }
             IoProgress::Advanced => self.idle_since = Instant::now(),
         }
-        let fault = match self.parse() {
-            Err(fault) => fault,
-            Ok(()) if self.unassigned_bytes > MAX_UNASSIGNED_BYTES => {
-                Fault("too many bytes that belong to no request")
-            }
-            Ok(()) if self.faults >= MAX_FAULTS => Fault("too many faults in a row"),
-            Ok(()) => {
-                let is_partial = self.codec.is_partial() || !self.read_buffer.is_empty();
-                let since = self.incomplete_since.unwrap_or_else(Instant::now);
-                self.incomplete_since =
-                    (is_partial || self.received == ReceivedKind::Nothing).then_some(since);
-                return Ok(true);
-            }
-        };
+        if let Err(fault) = self.parse() {
+            self.end_by_fault(fault);
+            return Ok(true);
+        }
+        let is_partial = self.codec.is_partial() || !self.read_buffer.is_empty();
+        let since = self.incomplete_since.unwrap_or_else(Instant::now);
+        self.incomplete_since =
+            (is_partial || self.received == ReceivedKind::Nothing).then_some(since);
+        self.end_if_limits_exceeded();
+        Ok(true)
+    }
+
+    /// Ends a connection whose client exceeds the limits on what can't be used, but not before the
+    /// other invocations on it are answered: more may be written to it until it is closed.
+    fn end_if_limits_exceeded(&mut self) {
+        if self.is_read_closed || !self.unanswered.is_empty() {
+            return;
+        }
+        if self.unassigned_bytes > MAX_UNASSIGNED_BYTES {
+            self.end_by_fault(Fault("too many bytes that belong to no request"));
+        } else if self.faults >= MAX_FAULTS {
+            self.end_by_fault(Fault("too many faults in a row"));
+        }
+    }
+
+    fn end_by_fault(&mut self, fault: Fault) {
         warn!("a connection ends: {fault}");
         self.count_bad_request();
+        self.end_reading(400);
+    }
+
+    /// Stops reading while the client may still be sending. Partial invocations are answered with
+    /// this status.
+    fn end_reading(&mut self, status: u16) {
+        for (id, partial) in self.assembly.take_all() {
+            let head = response_head(status, "");
+            self.write_answer(id, partial.keeps_connection, &head, b"");
+        }
         self.must_linger = true;
         self.stop_reading();
-        Ok(true)
     }
 
     /// Stops reading. Invocations read completely are still answered, partial ones are dropped.
@@ -700,7 +731,8 @@
 
     fn count_fault(&mut self) {
         self.faults += 1;
-        self.read_paused_until = Some(Instant::now() + FAULT_PAUSE * self.faults);
+        let pause = FAULT_PAUSE * self.faults.min(MAX_FAULTS);
+        self.read_paused_until = Some(Instant::now() + pause);
     }
 
     fn answer_health_check(&mut self, id: u16, keeps_connection: bool) {
