Client connections: bound the last read, which a flood kept going for ever

Callers saw no answers while one client sent records that complete no request at full speed on one connection: 2.99 s in a flood of 4 s (debug build).

Cause: before a connection is closed for a timeout, for idling or to make room, everything received is read. That loop ended when the kernel had nothing left, and gave way to no other task.

It now reads what the kernel had received when it began, and other tasks run between two reads.

--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -12,6 +12,7 @@
 use merlinshelf_protocol::Fault;
 use merlinshelf_protocol::fastcgi::{self, Fragment, Status};
 use merlinshelf_protocol::uwsgi;
+use rustix::io::ioctl_fionread;
 use rustix::net::{Shutdown, shutdown};
 use tokio::io::{AsyncWrite, Interest};
 use tokio::net::TcpStream;
@@ -305,16 +306,13 @@
             let may_read = !self.is_read_closed
                 && self.write_buffer.len() <= MAX_UNSENT_BYTES
                 && self.read_paused_until.is_none();
-            let interest = match (may_read, is_blocked) {
-                (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
-                (true, false) => Some(Interest::READABLE),
-                (false, true) => Some(Interest::WRITABLE),
-                (false, false) => None,
-            };
             select! {
                 biased;
-                ready = self.socket.ready(interest.unwrap_or(Interest::ERROR)), if interest.is_some() => {
-                    ready?;
+                ready = self.socket.ready(interest(may_read, is_blocked)) => {
+                    if ready?.is_error() {
+                        // Nobody waits any more for what may still be unread.
+                        return Err(io::ErrorKind::ConnectionReset.into());
+                    }
                 }
                 () = self.handle.answer_ready() => {}
                 () = self.slot.close_requested() => {}
@@ -343,20 +341,20 @@
             if self.read_deadline().is_some_and(|deadline| now >= deadline) {
                 // After a pause of this process the runtime may notice the deadline before the
                 // bytes that were received meanwhile.
-                self.read_remaining()?;
+                self.read_remaining().await?;
                 if self.read_deadline().is_some_and(|deadline| now >= deadline) {
                     self.read_timed_out();
                 }
             }
             self.update_slot();
             if self.slot.must_close() {
-                self.read_remaining()?;
+                self.read_remaining().await?;
                 if self.slot.must_close() {
                     return Ok(());
                 }
             }
             if idle_deadline.is_some() && self.is_idle() && self.is_idle_timeout_over() {
-                self.read_remaining()?;
+                self.read_remaining().await?;
                 if self.is_idle() {
                     return Ok(());
                 }
@@ -449,26 +447,37 @@
         Instant::now() >= self.idle_since + self.exchange.borrow().idle_timeout()
     }
 
-    /// Reads everything that the kernel has received, so that a connection that this side closes
-    /// loses nothing that was sent on it.
-    fn read_remaining(&mut self) -> io::Result<()> {
-        if self.exchange.borrow().is_journaling() {
-            // What stays in the kernel is read by the process that continues this connection, which
-            // registers for readiness again.
-            while !self.is_read_closed
-                && self.write_buffer.len() <= MAX_UNSENT_BYTES
-                && self.read_now_journaled()?
-            {}
-        } else {
-            while !self.is_read_closed
-                && self.write_buffer.len() <= MAX_UNSENT_BYTES
-                && self.read_with(Ring::fill_now)?
-            {}
+    /// Reads everything that the kernel has received by now, so that a connection that this side
+    /// closes loses nothing that was sent on it. What a client sends meanwhile is not waited for,
+    /// and other tasks run between two reads.
+    async fn read_remaining(&mut self) -> io::Result<()> {
+        let received_bytes = ioctl_fionread(&self.socket)?;
+        let end = self.read_buffer.transferred_bytes() + received_bytes;
+        while !self.is_read_closed
+            && self.write_buffer.len() <= MAX_UNSENT_BYTES
+            && self.read_now()?
+            && self.read_buffer.transferred_bytes() < end
+        {
+            self.update_slot();
+            yield_now().await;
+            if self.exchange.borrow().is_frozen() {
+                break;
+            }
         }
         self.update_slot();
         Ok(())
     }
 
+    /// Reads one chunk by asking the kernel. While a predecessor watches, what stays in the kernel
+    /// is read by the process that continues this connection, which registers for readiness again.
+    fn read_now(&mut self) -> io::Result<bool> {
+        if self.exchange.borrow().is_journaling() {
+            self.read_now_journaled()
+        } else {
+            self.read_with(Ring::fill_now)
+        }
+    }
+
     /// Reads one chunk. Returns whether there was any. While a predecessor watches, the resulting
     /// state is journaled before the bytes are removed from the kernel.
     fn read(&mut self) -> io::Result<bool> {
@@ -499,6 +508,9 @@
             IoProgress::Blocked => return Ok(false),
             IoProgress::Closed => {
                 self.stop_reading();
+                self.exchange
+                    .borrow_mut()
+                    .sending_closed(self.handle.number());
                 return Ok(false);
             }
             IoProgress::Advanced => self.idle_since = Instant::now(),
@@ -706,7 +718,7 @@
                     return;
                 }
                 self.unanswered.remove(&id);
-                Rejection::new(400, format!("{call} is already in flight"))
+                Rejection::new(400, format!("{call} is already in flight or was run"))
             }
             Err(rejection) => rejection,
         };
@@ -849,6 +861,16 @@
     Ok(())
 }
 
+/// What a connection waits for on its socket; always for its reset.
+fn interest(may_read: bool, is_blocked: bool) -> Interest {
+    let readable = may_read.then_some(Interest::READABLE);
+    let writable = is_blocked.then_some(Interest::WRITABLE);
+    readable
+        .into_iter()
+        .chain(writable)
+        .fold(Interest::ERROR, Interest::add)
+}
+
 fn far_future() -> Instant {
     Instant::now() + Duration::from_secs(3600)
 }
