Exchange: an id that comes again after its client left is not run a second time

Callers saw an id run twice when it came again on another connection after its client had left and its run had ended: ids were compared with those in flight only.

One that the engine did not start may come again.

Test: an_id_that_comes_again_after_its_client_left_is_not_run_twice failed with the program before, passes now.

--- a/crates/merlinshelf-backend/src/exchange/in_flight.rs
+++ b/crates/merlinshelf-backend/src/exchange/in_flight.rs
@@ -38,6 +38,8 @@
     pub is_calling: bool,
     /// Whether a run of it has been started.
     pub has_started: bool,
+    /// Its caller has disconnected, has closed the sending direction or has aborted it.
+    pub caller_has_left: bool,
     /// How many notifications the engine has sent about it.
     pub notifications: u64,
     /// When its open call times out, relative to the exchange's start.
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -15,6 +15,7 @@
 mod journaling;
 mod policy;
 mod quota;
+mod recent_runs;
 mod restoration;
 mod runs;
 mod send_queue;
@@ -43,6 +44,7 @@
 pub use in_flight::ReplyAddress;
 pub use policy::PolicyOverlay;
 pub use quota::CallDemand;
+use recent_runs::RecentRuns;
 pub use runs::Command;
 use send_queue::SendQueue;
 pub use snapshot::{
@@ -82,6 +84,7 @@
     controller: Option<AdmissionController>,
     shutdown_at: Option<Instant>,
     invocations: InFlightTable,
+    recent_runs: RecentRuns,
     connections: ConnectionTable,
     timers: TimerQueue,
     timers_changed: Rc<Notify>,
@@ -197,6 +200,7 @@
             controller: None,
             shutdown_at: None,
             invocations: InFlightTable::default(),
+            recent_runs: RecentRuns::default(),
             connections: ConnectionTable::default(),
             timers: TimerQueue::default(),
             timers_changed: Rc::default(),
--- a/crates/merlinshelf-backend/src/exchange/restoration.rs
+++ b/crates/merlinshelf-backend/src/exchange/restoration.rs
@@ -163,6 +163,7 @@
             calls: invocation.call_count,
             is_calling: call_timeout.is_some(),
             has_started: invocation.has_started,
+            caller_has_left: reply.is_none(),
             notifications: invocation.notification_count,
             call_timeout_at: call_timeout.map(|timeout| self.origin.elapsed() + timeout),
             command: None,
--- a/crates/merlinshelf-backend/src/exchange/runs.rs
+++ b/crates/merlinshelf-backend/src/exchange/runs.rs
@@ -128,7 +128,8 @@
                 self.answer(index, answer);
             }
             End::Errored => self.answer(index, Answer::Failed),
-            End::Stopped | End::Moot => {}
+            End::Moot => self.record_never_ran(index),
+            End::Stopped => {}
         }
         let outcome = Outcome {
             succeeded: end == End::Succeeded,
@@ -138,6 +139,13 @@
         self.decide(|controller, now| controller.run_ended(now, index, outcome, duration));
     }
 
+    /// The engine has not started the run of an invocation.
+    fn record_never_ran(&mut self, index: usize) {
+        if let Some(invocation) = self.invocations.get_mut(index) {
+            invocation.has_started = false;
+        }
+    }
+
     /// A run waits for a call with this body. It names the dependency if that was negotiated with the
     /// engine.
     pub fn call_requested(
@@ -210,6 +218,7 @@
         );
         if let (b"RUN", Some(index)) = (word, self.invocations.find(id)) {
             self.answer(index, Answer::Unknown);
+            self.record_never_ran(index);
             let outcome = Outcome {
                 never_ran: true,
                 ..Outcome::default()
