Upgrades: a router's call in progress passes to the successor with its state

Cause: the image held only the connection and the number of a call. That the router had made the call, for which dependency, at which fallback, until when, after which servers, and whether an attempt may have had its effect was known only to the router of the predecessor. The successor went on without a router: no mark, no retry, no fallback where the attempt failed, no deadline share, and of two hedged attempts the first outcome counted, whichever it was. A call that waited or whose attempt was not sent yet began anew at its first dependency.

Attempts without a connection record were not sent and are made again. A connection that was lost in the handover counts as failed, not as never made.

The rig for upgrades of scripted tests moved from tests/handover.rs to the testbed.

--- a/crates/merlinshelf-backend/src/client/catalogue/connection.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue/connection.rs
@@ -26,8 +26,8 @@
 
 /// A connection that a predecessor opened, with its call.
 pub struct ResumedConnection {
-    /// Its socket.
-    pub socket: TcpStream,
+    /// Its socket; `None` if the connection was lost.
+    pub socket: Option<TcpStream>,
     /// Its stream number.
     pub stream: u64,
     /// Its state.
@@ -35,14 +35,27 @@
 }
 
 impl ResumedConnection {
-    /// The connection and its call; `None` if the record is invalid.
-    pub(super) fn restore(self) -> Option<(DownstreamConnection, AttemptKey)> {
+    /// The attempt that it carries; `None` if the record is invalid.
+    pub(super) fn key(&self) -> Option<AttemptKey> {
+        let id = CallId::parse(&self.record.invocation_id)?;
+        let number = self.record.call_index;
+        Some(match self.record.attempt_id {
+            Some(attempt_id) => AttemptKey {
+                id,
+                number,
+                attempt_id,
+            },
+            None => AttemptKey::unrouted(id, number),
+        })
+    }
+
+    /// The connection; `None` if it was lost or its record is invalid.
+    pub(super) fn restore(self) -> Option<DownstreamConnection> {
         let record = self.record;
-        let id = CallId::parse(&record.invocation_id)?;
         let address = record.address.parse().ok()?;
         let flow = record.flow;
-        let connection = DownstreamConnection {
-            socket: self.socket,
+        Some(DownstreamConnection {
+            socket: self.socket?,
             stream: self.stream,
             address,
             read_buffer: Ring::restore(flow.read_buffer, flow.read_bytes),
@@ -53,8 +66,7 @@
                 .filter_map(|id| CallId::parse(id))
                 .collect(),
             idle_since: Instant::now(),
-        };
-        Some((connection, AttemptKey::unrouted(id, record.call_index)))
+        })
     }
 }
 
@@ -125,6 +137,7 @@
             address: self.address.to_string(),
             invocation_id: ByteBuf::from(key.id.as_bytes()),
             call_index: key.number,
+            attempt_id: key.is_routed().then_some(key.attempt_id),
             carried_invocation_ids: self
                 .carried_ids
                 .iter()
--- a/crates/merlinshelf-backend/src/client/catalogue/mod.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue/mod.rs
@@ -14,6 +14,7 @@
 
 use log::debug;
 use merlinshelf_dependencies::Action;
+use merlinshelf_handover::Key;
 use merlinshelf_protocol::CallId;
 use merlinshelf_quota::CATALOGUE;
 use tokio::select;
@@ -89,8 +90,9 @@
         idle: VecDeque::new(),
         max_calls,
     };
+    client.resume_calls();
     for connection in resumed.take() {
-        client.resume(connection);
+        client.resume_connection(connection);
     }
     loop {
         client.process_commands();
@@ -329,20 +331,55 @@
         report_outcome(&self.exchange, self.routing.as_ref(), key, outcome);
     }
 
-    /// Continues a call that a predecessor started. Its outcome is the call's, whichever server it
-    /// was sent to.
-    fn resume(&mut self, resumed: ResumedConnection) {
-        let Some((connection, key)) = resumed.restore() else {
+    /// Continues the calls that another process's router made. Without a router, those that were
+    /// sent continue on their connections, and the others go to the catalogue.
+    fn resume_calls(&mut self) {
+        let calls = self.exchange.borrow_mut().take_resumed_calls();
+        if let Some(routing) = &self.routing {
+            return routing.borrow_mut().resume_calls(&self.exchange, &calls);
+        }
+        let unsent = calls
+            .into_iter()
+            .filter(|call| call.snapshot.attempts.is_empty());
+        self.waiting.extend(unsent.map(|call| Call {
+            key: AttemptKey::unrouted(call.id, call.number),
+            timeout_seconds: call.timeout_seconds,
+            body: call.body,
+        }));
+    }
+
+    /// Continues an attempt that another process sent. One whose connection was lost may have taken
+    /// effect.
+    fn resume_connection(&mut self, resumed: ResumedConnection) {
+        let Some(mut key) = resumed.key() else {
             return;
         };
+        let is_cancelled = match &self.routing {
+            Some(routing) => key.is_routed() && !routing.borrow().awaits_attempt(key.attempt_id),
+            None => {
+                key = AttemptKey::unrouted(key.id, key.number);
+                false
+            }
+        };
+        let stream = resumed.stream;
+        let connection = match resumed.restore() {
+            Some(connection) if is_cancelled => return connection.close(&self.exchange),
+            Some(connection) => connection,
+            None => {
+                self.report(key, CallOutcome::Failed);
+                let removed = [Key::DownstreamConnection(stream)];
+                return self.exchange.borrow_mut().journal_removal(&removed);
+            }
+        };
         let exchange = self.exchange.clone();
+        let routing = self.routing.clone();
         let task = async move {
             let result = run_attempt(
                 connection,
                 key,
                 &exchange,
-                None,
-                "a connection of the predecessor",
+                routing.as_ref(),
+                "a connection of another process",
             )
             .await;
             (key, result)
--- a/crates/merlinshelf-backend/src/exchange/arrivals.rs
+++ b/crates/merlinshelf-backend/src/exchange/arrivals.rs
@@ -215,6 +215,7 @@
             }),
             calls: 0,
             is_calling: false,
+            routed_call: None,
             has_started: false,
             caller_has_left: false,
             notifications: 0,
--- a/crates/merlinshelf-backend/src/exchange/calls.rs
+++ b/crates/merlinshelf-backend/src/exchange/calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use merlinshelf_admission::Outcome;
+use merlinshelf_dependencies::CallSnapshot;
 use merlinshelf_protocol::CallId;
 use tokio::sync::Notify;
 
@@ -30,6 +31,18 @@
     },
 }
 
+/// A call that another process's router made and that this process's router continues.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ResumedCall {
+    pub id: CallId,
+    pub number: CallNumber,
+    pub timeout_seconds: f64,
+    pub body: Rc<[u8]>,
+    pub context: CallContext,
+    /// The call, with the attempts that were sent.
+    pub snapshot: CallSnapshot,
+}
+
 /// What routing to a dependency depends on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallContext {
@@ -75,6 +88,20 @@
         invocation.is_some_and(|invocation| invocation.is_calling && invocation.calls == number)
     }
 
+    /// The router has changed its open call; an image of this process contains the change.
+    pub fn set_call_snapshot(&mut self, id: CallId, number: CallNumber, snapshot: CallSnapshot) {
+        let is_open = self.is_call_open(id, number);
+        let index = self.invocations.find(id).filter(|_| is_open);
+        if let Some(invocation) = index.and_then(|index| self.invocations.get_mut(index)) {
+            invocation.routed_call = Some(snapshot);
+        }
+    }
+
+    /// Calls of another process's router that are to be continued.
+    pub fn take_resumed_calls(&mut self) -> Vec<ResumedCall> {
+        std::mem::take(&mut self.resumed_calls)
+    }
+
     /// A call has ended.
     pub fn call_ended(&mut self, id: CallId, number: CallNumber, call_outcome: CallOutcome) {
         let is_open = self.is_call_open(id, number);
@@ -97,11 +124,17 @@
             CallOutcome::NeverRan => self.counters.calls_never_ran += 1,
             CallOutcome::Failed => self.counters.calls_failed += 1,
         }
-        if let Some(invocation) = self.invocations.get_mut(index) {
-            (invocation.is_calling, invocation.call_timeout_at) = (false, None);
-        }
+        let snapshot = self
+            .invocations
+            .get_mut(index)
+            .and_then(|invocation| invocation.close_call());
         match call_outcome {
             CallOutcome::Succeeded(reply) => {
+                // A router reports the reply of a fallback dependency as degraded. A process
+                // without one may have resumed the call.
+                if let Some(call) = snapshot.filter(|call| call.fallback_dependency.is_some()) {
+                    self.record_missing_part(index, call.dependency.into());
+                }
                 self.counters.feeds += 1;
                 self.send_command(index, Command::Feed { id, reply });
             }
@@ -192,7 +225,7 @@
         else {
             return false;
         };
-        (invocation.is_calling, invocation.call_timeout_at) = (false, None);
+        invocation.close_call();
         self.counters.cancels += 1;
         let (id, number) = (invocation.id, invocation.calls);
         self.call_commands.push(CallCommand::Abandon { id, number });
--- a/crates/merlinshelf-backend/src/exchange/in_flight.rs
+++ b/crates/merlinshelf-backend/src/exchange/in_flight.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use merlinshelf_dependencies::CallSnapshot;
 use merlinshelf_protocol::CallId;
 
 use super::runs::Command;
@@ -36,6 +37,8 @@
     /// Calls made so far, including retries, and whether the last one is open.
     pub calls: usize,
     pub is_calling: bool,
+    /// The open call as its router knows it; `None` if the router does not make it.
+    pub routed_call: Option<CallSnapshot>,
     /// Whether a run of it has been started.
     pub has_started: bool,
     /// Its caller has disconnected, has closed the sending direction or has aborted it.
@@ -51,6 +54,14 @@
     pub arrival_order: u64,
 }
 
+impl InFlightInvocation {
+    /// Its open call has ended; the router's last snapshot of it, if the router made it.
+    pub fn close_call(&mut self) -> Option<CallSnapshot> {
+        (self.is_calling, self.call_timeout_at) = (false, None);
+        self.routed_call.take()
+    }
+}
+
 /// All invocations in flight.
 #[derive(Debug, Default)]
 pub struct InFlightTable {
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -17,6 +17,7 @@
 mod quota;
 mod recent_runs;
 mod restoration;
+mod restored_calls;
 mod runs;
 mod send_queue;
 mod snapshot;
@@ -37,7 +38,7 @@
 use crate::counters::Counters;
 use crate::journal::Journal;
 pub use arrivals::{Answer, Arrival, ReadReservation};
-pub use calls::{CallCommand, CallContext, CallNumber, CallOutcome};
+pub use calls::{CallCommand, CallContext, CallNumber, CallOutcome, ResumedCall};
 pub use connections::ConnectionHandle;
 use connections::ConnectionTable;
 use in_flight::InFlightTable;
@@ -114,6 +115,8 @@
     /// Commands that another process wrote to the engine connection and whose receipt the engine
     /// has not acknowledged.
     inherited_commands: Vec<(Command, u64)>,
+    /// Calls of another process's router that this process's router has not taken yet.
+    resumed_calls: Vec<ResumedCall>,
     /// By operation, the names of the dependencies that its calls go to; `None` where the catalogue
     /// is the only dependency.
     dependency_names: Option<Vec<Vec<Rc<str>>>>,
@@ -219,6 +222,7 @@
             journal: None,
             opened_connections: None,
             inherited_commands: Vec::new(),
+            resumed_calls: Vec::new(),
             dependency_names: None,
             prior_estimates: PriorEstimates::default(),
             gossip_state: Vec::new(),
--- a/crates/merlinshelf-backend/src/exchange/restoration.rs
+++ b/crates/merlinshelf-backend/src/exchange/restoration.rs
@@ -1,6 +1,6 @@
 //! Restores the exchange from a handover image, in a successor or in a predecessor that recovers.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,11 +10,11 @@
 use merlinshelf_handover::{Image, Key};
 use merlinshelf_protocol::CallId;
 
+use super::Exchange;
 use super::in_flight::{InFlightInvocation, ReplyAddress};
+use super::restored_calls::SentAttempts;
 use super::runs::Command;
 use super::snapshot::monotonic_seconds;
-use super::timers::Timer;
-use super::{CallCommand, Exchange};
 
 impl Exchange {
     /// Whether the image can be continued with these settings.
@@ -37,12 +37,12 @@
     }
 
     /// Restores the instance and all invocations in flight from an image. Its client connections must
-    /// have been reopened before. `continued_calls` are the downstream calls whose connections
-    /// continue; `learned` is used if the image has no learned state.
+    /// have been reopened before. `downstream_connections` are those of calls in progress, also if
+    /// they were lost; `learned` is used if the image has no learned state.
     pub fn restore(
         &mut self,
         image: &Image,
-        continued_calls: &[records::DownstreamConnectionRecord],
+        downstream_connections: &[records::DownstreamConnectionRecord],
         learned: Option<merlinshelf_admission::LearnedState>,
     ) {
         let instance: records::Instance = image.get(Key::Instance).unwrap_or_default();
@@ -111,14 +111,9 @@
             }
         }
         invocations.sort_by_key(|(_, invocation)| invocation.arrival_order);
-        let continued_calls: HashSet<(&[u8], usize)> = continued_calls
-            .iter()
-            .map(|call| (call.invocation_id.as_slice(), call.call_index))
-            .collect();
+        let sent_attempts = SentAttempts::new(downstream_connections);
         for (id, invocation) in invocations {
-            let is_call_continued =
-                continued_calls.contains(&(id.as_bytes() as &[u8], invocation.call_count));
-            self.restore_invocation(id, invocation, &connections, is_call_continued, now);
+            self.restore_invocation(id, invocation, &connections, &sent_attempts, now);
         }
     }
 
@@ -127,7 +122,7 @@
         id: CallId,
         invocation: records::Invocation,
         connections: &HashMap<u64, usize>,
-        is_call_continued: bool,
+        sent_attempts: &SentAttempts,
         now: f64,
     ) {
         if invocation.operation >= self.operation_names.len() || self.invocations.find(id).is_some()
@@ -162,6 +157,7 @@
             due_at: None,
             calls: invocation.call_count,
             is_calling: call_timeout.is_some(),
+            routed_call: invocation.routed_call,
             has_started: invocation.has_started,
             caller_has_left: reply.is_none(),
             notifications: invocation.notification_count,
@@ -196,24 +192,7 @@
             }
         }
         if let Some(timeout) = call_timeout {
-            let timeout_at = self.origin.elapsed() + timeout;
-            self.set_timer(timeout_at, Timer::CallTimeout(id, invocation.call_count));
-            let body = self
-                .invocations
-                .get(index)
-                .and_then(|invocation| invocation.call_request.as_ref())
-                .map(|(_, body)| body.clone());
-            if let (false, Some(body)) = (is_call_continued, body) {
-                // The call was decided on but not sent: its connection would continue otherwise.
-                let context = self.call_context(index);
-                self.call_commands.push(CallCommand::Invoke {
-                    id,
-                    number: invocation.call_count,
-                    timeout_seconds: timeout.as_secs_f64(),
-                    body,
-                    context,
-                });
-            }
+            self.restore_call(index, timeout, sent_attempts);
         }
         if is_client_lost {
             self.caller_disconnected(index);
--- a/crates/merlinshelf-backend/src/instance/restored.rs
+++ b/crates/merlinshelf-backend/src/instance/restored.rs
@@ -43,10 +43,10 @@
 }
 
 struct DownstreamConnection {
-    socket: TcpStream,
     stream: u64,
     record: records::DownstreamConnectionRecord,
-    reconciliation: Reconciliation,
+    /// `None` if the connection can't be continued: its call may have taken effect.
+    live: Option<(TcpStream, Reconciliation)>,
 }
 
 struct EngineConnection {
@@ -129,7 +129,8 @@
                     restored.restore_client_connection(source.image, stream, socket);
                 }
                 Role::DownstreamConnection(stream) => {
-                    restored.restore_downstream_connection(source.image, stream, socket);
+                    let connection = downstream_connection(source.image, stream, socket);
+                    restored.downstream_connections.extend(connection);
                 }
                 _ => {}
             }
@@ -182,23 +183,6 @@
         });
     }
 
-    fn restore_downstream_connection(&mut self, image: &Image, stream: u64, socket: OwnedFd) {
-        let key = Key::DownstreamConnection(stream);
-        // A connection without a record carries no call and need not continue.
-        let Some(mut record) = decode::<records::DownstreamConnectionRecord>(image, key) else {
-            return;
-        };
-        let reconciliation = reconcile(&socket, &mut record.flow, OpenedBy::Us);
-        if let Some((reconciliation, socket)) = reconciliation.zip(into_stream(socket)) {
-            self.downstream_connections.push(DownstreamConnection {
-                socket,
-                stream,
-                record,
-                reconciliation,
-            });
-        }
-    }
-
     /// From now on, records every change before its effect is visible, and sends opened connections
     /// to `opened`.
     pub fn start_recording(
@@ -213,7 +197,11 @@
     pub fn totals(&self) -> InstanceTotals {
         InstanceTotals {
             client_connections: self.client_connections.len(),
-            downstream_calls: self.downstream_connections.len(),
+            downstream_calls: self
+                .downstream_connections
+                .iter()
+                .filter(|connection| connection.live.is_some())
+                .count(),
             invocations: self.exchange.borrow().in_flight(),
         }
     }
@@ -347,18 +335,38 @@
 }
 
 fn resume_downstream_connections(connections: Vec<DownstreamConnection>) -> Vec<ResumedConnection> {
-    let mut resumed = Vec::new();
-    for connection in connections {
-        match discard(&connection.socket, connection.reconciliation.discard_bytes) {
-            Ok(()) => resumed.push(ResumedConnection {
-                socket: connection.socket,
-                stream: connection.stream,
-                record: connection.record,
-            }),
-            Err(error) => warn!("downstream connection lost: {error}"),
-        }
-    }
-    resumed
+    let resumed = connections.into_iter().map(|connection| ResumedConnection {
+        socket: connection.live.and_then(|(socket, reconciliation)| {
+            match discard(&socket, reconciliation.discard_bytes) {
+                Ok(()) => Some(socket),
+                Err(error) => {
+                    warn!("downstream connection lost: {error}");
+                    None
+                }
+            }
+        }),
+        stream: connection.stream,
+        record: connection.record,
+    });
+    resumed.collect()
+}
+
+/// A restored downstream connection. One without a record carries no call and need not continue.
+fn downstream_connection(
+    image: &Image,
+    stream: u64,
+    socket: OwnedFd,
+) -> Option<DownstreamConnection> {
+    let key = Key::DownstreamConnection(stream);
+    let mut record = decode::<records::DownstreamConnectionRecord>(image, key)?;
+    let reconciliation = reconcile(&socket, &mut record.flow, OpenedBy::Us);
+    let live =
+        reconciliation.and_then(|reconciliation| Some((into_stream(socket)?, reconciliation)));
+    Some(DownstreamConnection {
+        stream,
+        record,
+        live,
+    })
 }
 
 /// The record with this key. A record that can't be decoded counts as missing: its connection is lost,
--- a/crates/merlinshelf-backend/src/routing.rs
+++ b/crates/merlinshelf-backend/src/routing.rs
@@ -1,5 +1,5 @@
-//! Runs the router of `merlinshelf-dependencies`: provides its clock and its randomness, and maps
-//! its call numbers to calls. It outlives the task that makes the calls, so that what the router
+//! Runs the router of `merlinshelf-dependencies`: provides its clock and its randomness, maps its
+//! call numbers to calls, and keeps the exchange's copies of them up to date for a successor. It outlives the task that makes the calls, so that what the router
 //! has learned about servers is kept.
 
 use std::cell::RefCell;
@@ -18,7 +18,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::exchange::{self, CallContext, CallDemand, CallNumber, CallOutcome};
+use crate::exchange::{
+    self, CallContext, CallDemand, CallNumber, CallOutcome, ResumedCall, monotonic_seconds,
+};
 
 /// A call: its invocation, and its number among the invocation's calls.
 pub type CallKey = (CallId, CallNumber);
@@ -36,6 +38,9 @@
 pub struct Routing {
     router: Router,
     started_at: Instant,
+    /// The start on the machine's monotonic clock, which is the router's, so that a successor's
+    /// router has the same.
+    started_at_seconds: f64,
     random: Pcg64Mcg,
     /// Calls in progress by the router's number.
     calls: HashMap<u64, RoutedCall>,
@@ -75,9 +80,11 @@
 impl Routing {
     /// Routing with these settings, for the instance of this name.
     pub fn new(dependencies: Dependencies, instance: &str, seed: u64) -> Routing {
+        let started_at_seconds = monotonic_seconds();
         Routing {
-            router: Router::new(0.0, dependencies, instance),
+            router: Router::new(started_at_seconds, dependencies, instance),
             started_at: Instant::now(),
+            started_at_seconds,
             random: Pcg64Mcg::seed_from_u64(seed),
             calls: HashMap::new(),
             call_ids: HashMap::new(),
@@ -88,7 +95,7 @@
 
     /// Seconds on the router's clock.
     fn now(&self) -> f64 {
-        self.started_at.elapsed().as_secs_f64()
+        self.started_at_seconds + self.started_at.elapsed().as_secs_f64()
     }
 
     /// Applies new settings.
@@ -117,7 +124,8 @@
 
     /// When [`handle_timeout`](Routing::handle_timeout) must be called.
     pub fn next_timeout(&self) -> Option<Instant> {
-        let timeout = Duration::from_secs_f64(self.router.next_timeout()?.max(0.0));
+        let seconds = self.router.next_timeout()? - self.started_at_seconds;
+        let timeout = Duration::from_secs_f64(seconds.max(0.0));
         // Rounded up: if called too early, the router would find nothing due, and the task would
         // not sleep.
         Some(self.started_at + timeout + Duration::from_micros(1))
@@ -151,19 +159,7 @@
         body: &Rc<[u8]>,
         context: &CallContext,
     ) {
-        let request = CallRequest {
-            operation: &context.operation,
-            call_index: context.call_index,
-            named_dependency: context.named_dependency.as_deref(),
-            max_wait_seconds,
-            remaining_seconds: context.caller_timeout,
-            effect: if context.is_idempotent {
-                Effect::Idempotent
-            } else {
-                Effect::NonIdempotent
-            },
-            payload: body,
-        };
+        let request = call_request(context, max_wait_seconds, body);
         let dependency = self
             .router
             .dependency_of_call(
@@ -188,15 +184,44 @@
         let call_id = self
             .router
             .start_call(now, &request, &mut || random.random());
+        self.insert_call(call_id, key, body);
+        self.process_actions(exchange, None);
+    }
+
+    fn insert_call(&mut self, call_id: u64, key: CallKey, body: &Rc<[u8]>) {
         let call = RoutedCall {
             key,
             body: body.clone(),
         };
         self.calls.insert(call_id, call);
         self.call_ids.insert(key, call_id);
+    }
+
+    /// Continues calls of another process's router. Their attempts in flight keep their numbers.
+    pub fn resume_calls(&mut self, exchange: &exchange::Shared, calls: &[ResumedCall]) {
+        self.renew_quotas(exchange, None, CallDemand::default());
+        let attempts = calls.iter().flat_map(|call| &call.snapshot.attempts);
+        let last_id = attempts.map(|attempt| attempt.attempt_id).max();
+        self.router.reserve_ids(last_id.unwrap_or(0));
+        for call in calls {
+            let now = self.now();
+            let random = &mut self.random;
+            let request = call_request(&call.context, call.timeout_seconds, &call.body);
+            let call_id =
+                self.router
+                    .restore_call(now, &request, call.snapshot.clone(), &mut || {
+                        random.random()
+                    });
+            self.insert_call(call_id, (call.id, call.number), &call.body);
+        }
         self.process_actions(exchange, None);
     }
 
+    /// Whether the router awaits the outcome of this attempt.
+    pub fn awaits_attempt(&self, attempt_id: u64) -> bool {
+        self.router.dependency_of_attempt(attempt_id).is_some()
+    }
+
     /// The kind of a first call: to a failing dependency it is a probe.
     fn first_call_kind(&mut self, dependency: &str) -> CallKind {
         let usage = self.router.update_quota(dependency, Remaining::UNLIMITED);
@@ -338,6 +363,40 @@
             let outcome = call_outcome(end, result);
             exchange.borrow_mut().call_ended(id, number, outcome);
         }
+        self.update_snapshots(exchange);
+    }
+
+    /// Replaces the exchange's snapshots of the calls that have changed.
+    fn update_snapshots(&mut self, exchange: &exchange::Shared) {
+        for call_id in self.router.take_changed_calls() {
+            let snapshot = self.router.call_snapshot(call_id);
+            if let Some((call, snapshot)) = self.calls.get(&call_id).zip(snapshot) {
+                let (id, number) = call.key;
+                exchange
+                    .borrow_mut()
+                    .set_call_snapshot(id, number, snapshot);
+            }
+        }
+    }
+}
+
+fn call_request<'a>(
+    context: &'a CallContext,
+    max_wait_seconds: f64,
+    payload: &'a [u8],
+) -> CallRequest<'a> {
+    CallRequest {
+        operation: &context.operation,
+        call_index: context.call_index,
+        named_dependency: context.named_dependency.as_deref(),
+        max_wait_seconds,
+        remaining_seconds: context.caller_timeout,
+        effect: if context.is_idempotent {
+            Effect::Idempotent
+        } else {
+            Effect::NonIdempotent
+        },
+        payload,
     }
 }
 
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -2,34 +2,20 @@
 //! the same connections. Also tests of the command line itself.
 
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::process::Command;
 use std::time::Instant;
 
 use insta::assert_snapshot;
 use merlinshelf_testbed::instance::signal;
 use merlinshelf_testbed::script::{
-    Peer, ProgramUnderTest, TIMEOUT, bind_loopback, complete_all_runs, send_until_stalled,
+    Peer, ProgramUnderTest, TIMEOUT, Upgradable, UpgradableOptions, bind_loopback,
+    complete_all_runs, send_until_stalled,
 };
 use merlinshelf_testbed::wire::{fastcgi_invocation, invocation_id};
 use rustix::process::Signal;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_merlinshelf");
 
-/// A rig whose program has a control socket and can be upgraded.
-struct Upgradable {
-    rig: ProgramUnderTest,
-    folder: PathBuf,
-}
-
-impl Drop for Upgradable {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 fn start_upgradable(watched_ms: u64, changes: &[(&str, &str)]) -> Upgradable {
     start_upgradable_with_fault(watched_ms, changes, "")
 }
@@ -40,70 +26,13 @@
     changes: &[(&str, &str)],
     fault: &str,
 ) -> Upgradable {
-    static NEXT_NUMBER: AtomicUsize = AtomicUsize::new(0);
-    let number = NEXT_NUMBER.fetch_add(1, Ordering::SeqCst);
-    let folder = std::env::temp_dir().join(format!(
-        "merlinshelf-{}-handover-{number}",
-        std::process::id()
-    ));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let text = format!(
-        "{{ control: {{ socket: {:?} }}, upgrade: {{ watched_ms: {watched_ms}, silent_ms: 5000, descriptors: 4096, memory_mb: 999 }} }}",
-        folder.join("control")
-    );
-    let operator = folder.join("operator.json5");
-    std::fs::write(&operator, text).expect("a file");
-    let variables = [
-        ("MERLINSHELF_OPERATOR", operator.to_str().expect("text")),
-        ("MERLINSHELF_FAULT", fault),
-    ];
-    Upgradable {
-        rig: ProgramUnderTest::start_with_env(PROGRAM, 1024, changes, &variables),
-        folder,
-    }
-}
-
-impl Upgradable {
-    fn command(&self, arguments: &[&str]) -> Command {
-        let mut command = Command::new(PROGRAM);
-        command
-            .args(arguments)
-            .arg("--control")
-            .arg(self.folder.join("control"));
-        command
-    }
-
-    fn run(&self, arguments: &[&str]) -> Output {
-        self.command(arguments).output().expect("the output")
-    }
-
-    fn status(&self) -> serde_json::Value {
-        let until = Instant::now() + TIMEOUT;
-        loop {
-            let output = self.run(&["status", "--json"]);
-            match serde_json::from_slice(&output.stdout) {
-                Ok(status) if output.status.success() => return status,
-                _ => assert!(Instant::now() < until, "{output:?}"), // no process may answer during the handover
-            }
-        }
-    }
-
-    /// Starts an upgrade and waits until it reports this stage.
-    fn start_upgrade_until(&self, stage: &str) -> Child {
-        let mut command = self
-            .command(&["upgrade", "--json"])
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("a command");
-        let mut lines = BufReader::new(command.stdout.as_mut().expect("a pipe")).lines();
-        let expected = format!("\"stage\":\"{stage}\"");
-        assert!(
-            lines.any(|line| line.expect("text").contains(&expected)),
-            "{}",
-            self.rig.log()
-        );
-        command
-    }
+    Upgradable::start(&UpgradableOptions {
+        program: PROGRAM,
+        watched_ms,
+        config_changes: changes,
+        fault,
+        operator_sections: "",
+    })
 }
 
 #[test]
@@ -232,11 +161,7 @@
     second.send(fastcgi_invocation(2, "transcript-search", b"two", &[]));
     let _ = writeln!(trace, "{}", engine.next_message());
     engine.answer_stats(2);
-    let successor = instance.status()["process"]
-        .as_u64()
-        .and_then(|id| u32::try_from(id).ok())
-        .expect("a process");
-    signal(successor, Signal::KILL);
+    signal(instance.serving_process(), Signal::KILL);
     assert_eq!(command.wait().expect("an end").code(), Some(1));
     // The predecessor continues on the successor's link and repeats nothing.
     engine.answer_stats(3);
@@ -436,7 +361,7 @@
         "{status}"
     );
     // A second instance does not take over the control socket.
-    let operator = instance.folder.join("operator.json5");
+    let operator = instance.operator_file();
     let second = Command::new(PROGRAM)
         .args(["serve", "--operator"])
         .arg(&operator)
@@ -458,7 +383,7 @@
 #[test]
 fn json_log_format_writes_one_object_per_line() {
     let instance = start_upgradable(300, &[]);
-    let operator = instance.folder.join("operator.json5");
+    let operator = instance.operator_file();
     std::fs::write(&operator, "{ log: { format: 'json' } }").expect("a file");
     let variables = [("MERLINSHELF_OPERATOR", operator.to_str().expect("text"))];
     let mut rig = ProgramUnderTest::start_with_env(
--- a/crates/merlinshelf-dependencies/src/lib.rs
+++ b/crates/merlinshelf-dependencies/src/lib.rs
@@ -32,7 +32,7 @@
 pub use fallback::{CallResult, DegradedResult, MissingParts};
 pub use report::Report;
 pub use retry_budget::{AttemptOutcome, Effect, RetryBudget};
-pub use router::{Action, CallEnd, CallRequest, Router};
+pub use router::{Action, AttemptSnapshot, CallEnd, CallRequest, CallSnapshot, Router};
 pub use server::{EjectionReason, Server, ServerHealth, ServerOutcome};
 pub use server_pool::ServerPool;
 pub use subset::subset;
--- a/crates/merlinshelf-dependencies/src/router/attempts.rs
+++ b/crates/merlinshelf-dependencies/src/router/attempts.rs
@@ -45,7 +45,7 @@
         reply: &[u8],
         random: &mut dyn FnMut() -> f64,
     ) {
-        let Some(call) = self.calls.get(&call_id) else {
+        let Some(call) = self.calls.get(call_id) else {
             return;
         };
         if let Some(state) = self.states.get_mut(&call.dependency) {
@@ -76,7 +76,7 @@
         outcome: AttemptOutcome,
         random: &mut dyn FnMut() -> f64,
     ) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get_mut(call_id) else {
             return;
         };
         call.may_have_run |= outcome == AttemptOutcome::Unknown;
@@ -111,7 +111,7 @@
         outcome: AttemptOutcome,
     ) -> Option<Attempt> {
         let call_id = self.call_by_attempt.remove(&attempt_id)?;
-        let call = self.calls.get_mut(&call_id)?;
+        let call = self.calls.get_mut(call_id)?;
         let index = call
             .attempts
             .iter()
@@ -136,7 +136,7 @@
     }
 
     fn cancel_attempts(&mut self, now: f64, call_id: u64, server_outcome: ServerOutcome) {
-        let Some(call) = self.calls.get(&call_id) else {
+        let Some(call) = self.calls.get(call_id) else {
             return;
         };
         let attempts = call.attempts.iter().map(|attempt| attempt.attempt_id);
@@ -151,20 +151,20 @@
     fn end_call(&mut self, now: f64, call_id: u64, random: &mut dyn FnMut() -> f64) {
         self.cancel_attempts(now, call_id, ServerOutcome::Cancelled);
         self.release_capacity(now, call_id, random);
-        self.calls.remove(&call_id);
+        self.calls.remove(call_id);
     }
 
     /// Cancels a call whose result is no longer needed, with its attempts. It is not reported as
     /// complete.
     pub fn cancel_call(&mut self, now: f64, call_id: u64, random: &mut dyn FnMut() -> f64) {
-        let Some(call) = self.calls.get(&call_id) else {
+        let Some(call) = self.calls.get(call_id) else {
             return;
         };
         if call.is_waiting {
             if let Some(state) = self.states.get_mut(&call.dependency) {
                 state.wait_queue.remove(call_id);
             }
-            self.calls.remove(&call_id);
+            self.calls.remove(call_id);
         } else {
             self.end_call(now, call_id, random);
         }
@@ -177,10 +177,10 @@
             .calls
             .iter()
             .filter(|(_, call)| call.is_due(now))
-            .map(|(call_id, _)| *call_id)
+            .map(|(call_id, _)| call_id)
             .collect();
         for call_id in due {
-            let Some(call) = self.calls.get(&call_id) else {
+            let Some(call) = self.calls.get(call_id) else {
                 continue;
             };
             if now >= call.deadline {
@@ -192,7 +192,7 @@
     }
 
     fn deadline_passed(&mut self, now: f64, call_id: u64, random: &mut dyn FnMut() -> f64) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get_mut(call_id) else {
             return;
         };
         if let Some(state) = self.states.get_mut(&call.dependency) {
@@ -214,7 +214,7 @@
 
     /// Sends a hedged request if there is capacity, quota and budget for it.
     fn hedge(&mut self, now: f64, call_id: u64, random: &mut dyn FnMut() -> f64) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get_mut(call_id) else {
             return;
         };
         call.hedge_at = None;
--- a/crates/merlinshelf-dependencies/src/router/dependency_state.rs
+++ b/crates/merlinshelf-dependencies/src/router/dependency_state.rs
@@ -201,6 +201,17 @@
         *remaining = remaining.saturating_sub(1);
     }
 
+    /// Counts a call of another router, with its attempts, as in flight. The other router has
+    /// deducted them from the fleet's budgets.
+    pub(super) fn call_restored(&mut self, call: &CallState) {
+        self.counters.calls += 1;
+        self.wait_queue.call_started(call.operation);
+        for attempt in &call.attempts {
+            self.in_flight += 1;
+            self.pool.attempt_restored(&attempt.server);
+        }
+    }
+
     /// Records an attempt that succeeded and is no longer in flight.
     pub(super) fn record_success(&mut self, now: f64, server: &str, duration_seconds: f64) {
         self.next_probe_at = now;
--- a/crates/merlinshelf-dependencies/src/router/fallback.rs
+++ b/crates/merlinshelf-dependencies/src/router/fallback.rs
@@ -23,7 +23,7 @@
         cause: FallbackCause,
         random: &mut dyn FnMut() -> f64,
     ) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get_mut(call_id) else {
             return;
         };
         let mut fallback_dependency = None;
@@ -42,7 +42,7 @@
     }
 
     fn end_without_reply(&mut self, now: f64, call_id: u64) {
-        let Some(call) = self.calls.remove(&call_id) else {
+        let Some(call) = self.calls.remove(call_id) else {
             return;
         };
         let end = self.result_without_reply(now, &call);
--- a/crates/merlinshelf-dependencies/src/router/mod.rs
+++ b/crates/merlinshelf-dependencies/src/router/mod.rs
@@ -5,11 +5,12 @@
 //! happened, and polls the [`Action`]s to carry out.
 //!
 //! `routing` starts calls and sends attempts, `attempts` handles their outcomes, retries, hedged
-//! requests and deadlines, `fallback` handles calls without a reply, and `handover` stops calls
-//! that a successor continues.
+//! requests and deadlines, `fallback` handles calls without a reply, and `handover` passes calls
+//! to a successor's router.
 
 mod attempts;
 mod call_state;
+mod call_table;
 pub(crate) mod dependency_state;
 mod fallback;
 mod handover;
@@ -21,11 +22,13 @@
 
 use merlinshelf_quota::Remaining;
 
+pub use handover::{AttemptSnapshot, CallSnapshot};
 pub use messages::{Action, CallEnd, CallRequest};
 
 use crate::config::{Call, Dependencies, Dependency, ServerConfig};
 use crate::subset::subset;
 use call_state::CallState;
+use call_table::CallTable;
 use dependency_state::DependencyState;
 use reply_cache::ReplyCache;
 
@@ -38,6 +41,10 @@
         self.0 += 1;
         self.0
     }
+
+    fn skip_to(&mut self, last_id: u64) {
+        self.0 = self.0.max(last_id);
+    }
 }
 
 /// Usage of the previous quota of a dependency.
@@ -57,7 +64,7 @@
     pub(crate) states: BTreeMap<String, DependencyState>,
     /// Indices of operations, which never change during the router's lifetime.
     operations: BTreeMap<String, usize>,
-    calls: BTreeMap<u64, CallState>,
+    calls: CallTable,
     call_by_attempt: BTreeMap<u64, u64>,
     reply_cache: ReplyCache,
     ids: IdSequence,
@@ -79,7 +86,7 @@
             instance_hash: hash_name(instance),
             states: BTreeMap::new(),
             operations: BTreeMap::new(),
-            calls: BTreeMap::new(),
+            calls: CallTable::default(),
             call_by_attempt: BTreeMap::new(),
             reply_cache: ReplyCache::default(),
             ids: IdSequence::default(),
@@ -148,8 +155,8 @@
     /// there are no calls.
     pub fn next_timeout(&self) -> Option<f64> {
         self.calls
-            .values()
-            .map(CallState::next_timeout)
+            .iter()
+            .map(|(_, call)| CallState::next_timeout(call))
             .min_by(f64::total_cmp)
     }
 
@@ -180,7 +187,7 @@
 
     /// The dependency that an attempt in flight was sent to.
     pub fn dependency_of_attempt(&self, attempt_id: u64) -> Option<&str> {
-        let call_id = self.call_by_attempt.get(&attempt_id)?;
+        let call_id = *self.call_by_attempt.get(&attempt_id)?;
         self.calls.get(call_id).map(|call| call.dependency.as_str())
     }
 
@@ -203,7 +210,7 @@
 
     /// The state of the dependency that a call is made to.
     fn state_of_call(&mut self, call_id: u64) -> Option<&mut DependencyState> {
-        let call = self.calls.get(&call_id)?;
+        let call = self.calls.get(call_id)?;
         self.states.get_mut(&call.dependency)
     }
 }
--- a/crates/merlinshelf-dependencies/src/router/routing.rs
+++ b/crates/merlinshelf-dependencies/src/router/routing.rs
@@ -138,7 +138,7 @@
     /// Sends the first attempt to the call's dependency, or queues the call until there is
     /// capacity.
     pub(super) fn begin(&mut self, now: f64, call_id: u64, random: &mut dyn FnMut() -> f64) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get_mut(call_id) else {
             return;
         };
         let Some(state) = self.states.get_mut(&call.dependency) else {
@@ -164,7 +164,7 @@
 
     /// Queues a dequeued or admitted call again, since all servers are full.
     fn requeue(&mut self, call_id: u64) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get_mut(call_id) else {
             return;
         };
         if let Some(state) = self.states.get_mut(&call.dependency) {
@@ -181,7 +181,7 @@
         kind: AttemptKind,
         random: &mut dyn FnMut() -> f64,
     ) -> Result<(), Unavailable> {
-        let call = self.calls.get_mut(&call_id).ok_or(Unavailable::NoServer)?;
+        let call = self.calls.get_mut(call_id).ok_or(Unavailable::NoServer)?;
         let state = self
             .states
             .get_mut(&call.dependency)
@@ -212,7 +212,7 @@
 
     /// Stops counting the call among its operation's calls in flight at its dependency.
     fn stop_counting(&mut self, call_id: u64) {
-        let Some(call) = self.calls.get(&call_id) else {
+        let Some(call) = self.calls.get(call_id) else {
             return;
         };
         if let Some(state) = self.states.get_mut(&call.dependency) {
@@ -227,7 +227,7 @@
         call_id: u64,
         random: &mut dyn FnMut() -> f64,
     ) {
-        let Some(call) = self.calls.get(&call_id) else {
+        let Some(call) = self.calls.get(call_id) else {
             return;
         };
         let dependency = call.dependency.clone();
@@ -241,7 +241,7 @@
             let Some(next) = state.wait_queue.dequeue() else {
                 return;
             };
-            let Some(call) = self.calls.get_mut(&next.call_id) else {
+            let Some(call) = self.calls.get_mut(next.call_id) else {
                 continue;
             };
             call.is_waiting = false;
--- a/crates/merlinshelf-dependencies/src/server_pool.rs
+++ b/crates/merlinshelf-dependencies/src/server_pool.rs
@@ -136,6 +136,13 @@
         Some(chosen.index)
     }
 
+    /// Counts an attempt that another router has sent as in flight at this server.
+    pub fn attempt_restored(&mut self, name: &str) {
+        if let Some(index) = self.index_of(name) {
+            self.servers[index].in_flight += 1;
+        }
+    }
+
     /// Starts probing the servers whose ejection has ended, and picks one without a probe in
     /// flight.
     fn pick_probed(&mut self, now: f64, excluded: &[usize]) -> Option<usize> {
--- a/crates/merlinshelf-dependencies/tests/router/invariants.rs
+++ b/crates/merlinshelf-dependencies/tests/router/invariants.rs
@@ -30,6 +30,10 @@
         seconds: f64,
     },
     DiscardCalls,
+    /// The router of another process continues the calls. Of the attempts, only some were sent.
+    HandOver {
+        sent: u64,
+    },
     ChangeServers {
         count: usize,
     },
@@ -59,6 +63,7 @@
         1 => (0..50_usize).prop_map(|index| Event::CancelCall { index }),
         3 => (0.0..0.3_f64).prop_map(|seconds| Event::TimePasses { seconds }),
         1 => Just(Event::DiscardCalls),
+        1 => any::<u64>().prop_map(|sent| Event::HandOver { sent }),
         1 => (1..5_usize).prop_map(|count| Event::ChangeServers { count }),
     ]
 }
@@ -67,6 +72,26 @@
 struct AttemptInFlight {
     attempt_id: u64,
     call_id: u64,
+    /// Whether `call_id` is a number of the successor already, during a handover.
+    is_renumbered: bool,
+}
+
+impl AttemptInFlight {
+    fn former_call(&self, former_id: u64) -> bool {
+        !self.is_renumbered && self.call_id == former_id
+    }
+}
+
+fn request(effect: Effect, remaining_seconds: f64) -> CallRequest<'static> {
+    CallRequest {
+        operation: "page",
+        call_index: 0,
+        named_dependency: None,
+        max_wait_seconds: 1.0,
+        remaining_seconds: Some(remaining_seconds),
+        effect,
+        payload: b"",
+    }
 }
 
 /// A router, and the state expected after the events and actions so far.
@@ -113,6 +138,7 @@
                 self.attempts.clear();
                 self.calls.clear();
             }
+            Event::HandOver { sent } => self.hand_over(sent),
             Event::ChangeServers { count } => {
                 let mut changed = settings(SETTINGS);
                 let dependency = changed
@@ -126,15 +152,7 @@
     }
 
     fn start_call(&mut self, effect: Effect, remaining_seconds: f64) {
-        let request = CallRequest {
-            operation: "page",
-            call_index: 0,
-            named_dependency: None,
-            max_wait_seconds: 1.0,
-            remaining_seconds: Some(remaining_seconds),
-            effect,
-            payload: b"",
-        };
+        let request = request(effect, remaining_seconds);
         let random = &mut self.random;
         let call_id = self
             .router
@@ -142,6 +160,39 @@
         self.calls.insert(call_id, effect);
     }
 
+    /// An attempt was sent if the bit of its number modulo 64 is set in `sent`.
+    fn hand_over(&mut self, sent: u64) {
+        let was_sent = |attempt_id: u64| sent >> (attempt_id % 64) & 1 == 1;
+        let mut successor = Router::new(self.now, settings(SETTINGS), "n1");
+        let attempts = self.attempts.iter();
+        let last_id = attempts.map(|attempt| attempt.attempt_id).max();
+        successor.reserve_ids(last_id.unwrap_or(0));
+        self.attempts.retain(|attempt| was_sent(attempt.attempt_id));
+        let (mut calls, mut may_have_run) = (BTreeMap::new(), BTreeSet::new());
+        for (former_id, effect) in std::mem::take(&mut self.calls) {
+            let mut snapshot = self.router.call_snapshot(former_id).expect("a call");
+            snapshot.retain_sent(was_sent);
+            let random = &mut self.random;
+            let call_id =
+                successor.restore_call(self.now, &request(effect, 0.0), snapshot, &mut || {
+                    random.next()
+                });
+            calls.insert(call_id, effect);
+            if self.may_have_run.contains(&former_id) {
+                may_have_run.insert(call_id);
+            }
+            for attempt in &mut self.attempts {
+                if attempt.former_call(former_id) {
+                    (attempt.call_id, attempt.is_renumbered) = (call_id, true);
+                }
+            }
+        }
+        for attempt in &mut self.attempts {
+            attempt.is_renumbered = false;
+        }
+        (self.router, self.calls, self.may_have_run) = (successor, calls, may_have_run);
+    }
+
     fn end_attempt(&mut self, index: usize, outcome: AttemptOutcome) {
         if self.attempts.is_empty() {
             return;
@@ -193,6 +244,7 @@
                     self.attempts.push(AttemptInFlight {
                         attempt_id,
                         call_id,
+                        is_renumbered: false,
                     });
                 }
                 Action::Cancel { attempt_id } => {
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use merlinshelf_admission::{InvocationState, LearnedState};
+use merlinshelf_dependencies::CallSnapshot;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -221,6 +222,9 @@
     /// Position of the call among the calls of its invocation, from 1.
     #[serde(rename = "number")]
     pub call_index: usize,
+    /// The router's number of the attempt; `None` if the router does not make the call.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub attempt_id: Option<u64>,
     /// All invocations whose calls were made over this connection.
     #[serde(rename = "carried")]
     pub carried_invocation_ids: Vec<ByteBuf>,
@@ -270,6 +274,9 @@
     /// Time at which its call in progress is abandoned; `None` without a call in progress.
     #[serde(rename = "calling_until")]
     pub call_deadline_at: Option<f64>,
+    /// The call in progress as its router knows it; `None` if the router does not make it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub routed_call: Option<CallSnapshot>,
     /// Whether a run was ever started.
     #[serde(rename = "begun")]
     pub has_started: bool,
--- a/crates/merlinshelf-handover/tests/golden.rs
+++ b/crates/merlinshelf-handover/tests/golden.rs
@@ -10,6 +10,7 @@
 use merlinshelf_admission::{
     Invocation as AdmissionInvocation, InvocationState, LearnedOperation, LearnedState, Stage,
 };
+use merlinshelf_dependencies::{AttemptSnapshot, CallSnapshot};
 use merlinshelf_handover::records::{
     Answer, ClientConnectionRecord, Command, DownstreamConnectionRecord, EngineConnectionRecord,
     Instance, Invocation, PartialInvocation, PartialRecord, ResponseQueueRecord,
@@ -168,6 +169,7 @@
         address: "127.0.0.1:5432".into(),
         invocation_id: bytes("9b1f03aa5c7e2d41"),
         call_index: 121,
+        attempt_id: None,
         carried_invocation_ids: vec![bytes("9b1f03aa5c7e2d42"), bytes("9b1f03aa5c7e2d43")],
         flow: flow("line", 122),
     }
@@ -184,6 +186,7 @@
         missing_parts: vec!["captions".into(), "chapters".into()],
         call_count: 136,
         call_deadline_at: Some(137.5),
+        routed_call: None,
         has_started: true,
         notification_count: 138,
         command: Some((Command::Feed(bytes("reply of a call")), true)),
@@ -297,6 +300,38 @@
     assert_records("invocation", vec![(key, invocation())]);
 }
 
+/// A call that the router makes: the invocation holds its state, the connection its attempt.
+#[test]
+fn records_of_a_routed_call() {
+    let attempt = AttemptSnapshot {
+        attempt_id: 171,
+        server: "127.0.0.1:5433".into(),
+        started_at: 172.5,
+        is_hedged: true,
+    };
+    let call = CallSnapshot {
+        dependency: "thumbs".into(),
+        fallback_dependency: Some("spare".into()),
+        deadline_at: 173.5,
+        hedge_at: Some(174.5),
+        tried_servers: vec!["127.0.0.1:5433".into(), "127.0.0.1:5434".into()],
+        attempts: vec![attempt],
+        may_have_run: true,
+    };
+    let invocation = Invocation {
+        routed_call: Some(call),
+        ..invocation()
+    };
+    let key = Key::Invocation(*b"9b1f03aa5c7e2d41");
+    assert_records("invocation_with_routed_call", vec![(key, invocation)]);
+    let connection = DownstreamConnectionRecord {
+        attempt_id: Some(171),
+        ..downstream_connection()
+    };
+    let key = Key::DownstreamConnection(0x2122_2324_2526_2728);
+    assert_records("connection_with_routed_call", vec![(key, connection)]);
+}
+
 /// Covers every command to the engine and every stage.
 #[test]
 fn records_of_invocations_by_command_and_stage() {
--- a/crates/merlinshelf-testbed/src/script/mod.rs
+++ b/crates/merlinshelf-testbed/src/script/mod.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod peer;
 mod program;
+mod upgradable;
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 pub use program::{
     EXAMPLE_CONFIG, ProgramUnderTest, bind_loopback, spawn_program, unique_address, write_config,
 };
+pub use upgradable::{Upgradable, UpgradableOptions};
 
 /// How long to wait for an expected message or event.
 pub const TIMEOUT: Duration = Duration::from_secs(5);
