Upgrades: the successor knows how long the callers of its invocations wait

A call to a dependency that a run requests after an upgrade got a fraction of its time: 242 ms where its share of 0.25 of the caller's remaining time was 920.

Cause: the time at which a caller's timeout expires was not part of an invocation's record, so that the share was taken of what the admission controller allows for the call.

Now the record holds it, on the machine's monotonic clock; invocations without one are encoded as before.

Test: a_call_requested_after_an_upgrade_gets_its_share_of_the_callers_time failed with the program before (a share of 0.066), passes now.

--- a/crates/merlinshelf-backend/src/exchange/restoration.rs
+++ b/crates/merlinshelf-backend/src/exchange/restoration.rs
@@ -16,6 +16,16 @@
 use super::runs::Command;
 use super::snapshot::monotonic_seconds;
 
+/// A call whose deadline passed during the handover ends by its timer, after this.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(1);
+/// No point in time of an image is further ahead than this.
+const MAX_SECONDS_AHEAD: f64 = 1e6;
+
+/// The time until a point on the monotonic clock; zero if that has passed.
+fn seconds_until(at: f64, now: f64) -> Duration {
+    Duration::from_secs_f64((at - now).clamp(0.0, MAX_SECONDS_AHEAD))
+}
+
 impl Exchange {
     /// Whether the image can be continued with these settings.
     ///
@@ -64,8 +74,7 @@
             self.settings.insert("FamilyInfo.FreshStart".into(), fresh);
         }
         if let Some(stop) = instance.drain_deadline_at {
-            let remaining = Duration::from_secs_f64((stop - now).clamp(0.0, 1e6));
-            self.shutdown_at = Some(tokio::time::Instant::now() + remaining);
+            self.shutdown_at = Some(tokio::time::Instant::now() + seconds_until(stop, now));
         }
         self.gossip_state = instance.gossip.into_vec();
         let Some(learned) = instance.learned.or(learned) else {
@@ -134,7 +143,7 @@
         }
         let call_timeout = invocation
             .call_deadline_at
-            .map(|deadline| Duration::from_secs_f64((deadline - now).clamp(0.001, 3600.0)));
+            .map(|deadline| seconds_until(deadline, now).max(MIN_CALL_TIMEOUT));
         let reply = invocation.response_target.and_then(|(stream, tag)| {
             Some(ReplyAddress {
                 connection: *connections.get(&stream)?,
@@ -154,7 +163,9 @@
             named_dependency: invocation.dependency.map(Rc::from),
             calls_requested: invocation.requested_calls,
             missing_parts: invocation.missing_parts.into_iter().map(Rc::from).collect(),
-            due_at: None,
+            due_at: invocation
+                .due_at
+                .map(|due| self.origin.elapsed() + seconds_until(due, now)),
             calls: invocation.call_count,
             is_calling: call_timeout.is_some(),
             routed_call: invocation.routed_call,
--- a/crates/merlinshelf-backend/src/exchange/snapshot.rs
+++ b/crates/merlinshelf-backend/src/exchange/snapshot.rs
@@ -206,6 +206,7 @@
                 .call_timeout_at
                 .filter(|_| invocation.is_calling)
                 .map(monotonic_time),
+            due_at: invocation.due_at.map(monotonic_time),
             routed_call: invocation.routed_call.clone(),
             has_started: invocation.has_started,
             notification_count: invocation.notifications,
--- a/crates/merlinshelf-cli/tests/calls_in_upgrades.rs
+++ b/crates/merlinshelf-cli/tests/calls_in_upgrades.rs
@@ -2,6 +2,7 @@
 //! state of a call must reach the successor, and the predecessor if that takes back.
 
 use std::net::TcpListener;
+use std::time::{Duration, Instant};
 
 use merlinshelf_testbed::instance::signal;
 use merlinshelf_testbed::script::{
@@ -13,6 +14,10 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_merlinshelf");
 /// A probation that lasts until its test ends it.
 const LONG_PROBATION_MS: u64 = 30_000;
+/// The share of the caller's remaining time that a call may take.
+const DEADLINE_SHARE: f64 = 0.25;
+/// How long the caller waits, which is the default of `fastcgi_invocation`.
+const CALLER_PATIENCE: Duration = Duration::from_secs(4);
 
 /// An instance whose runs of `thumbnail` call the dependency `thumbs`, with `spare` as its fallback.
 struct Rig {
@@ -42,7 +47,7 @@
             "dependencies: {{ dependencies: {{ \
              thumbs: {{ servers: [{{ address: '{thumbs_address}' }}], instead: 'spare' }}, \
              spare: {{ servers: [{{ address: '{spare_address}' }}] }} }}, \
-             operations: {{ thumbnail: {{ calls: [{{ to: 'thumbs', needed: true }}] }} }} }},"
+             operations: {{ thumbnail: {{ calls: [{{ to: 'thumbs', needed: true, share: {DEADLINE_SHARE} }}] }} }} }},"
         );
         let effect = format!("\"Effect\": \"{effect}\"");
         let instance = Upgradable::start(&UpgradableOptions {
@@ -66,15 +71,23 @@
         }
     }
 
-    /// Sends an invocation whose run requests a call.
-    fn begin_call(&mut self) {
+    fn begin_run(&mut self) {
         self.edge
             .send(fastcgi_invocation(1, "thumbnail", b"page", &[]));
         assert!(self.engine.next_message().starts_with("RUN "));
+    }
+
+    fn request_call(&mut self) {
         self.engine
             .send(format!("NEED 1 {} 4\r\nmore\r\n", invocation_id(1)));
     }
 
+    /// Sends an invocation whose run requests a call.
+    fn begin_call(&mut self) {
+        self.begin_run();
+        self.request_call();
+    }
+
     fn accept_thumbs(&self) -> Peer {
         accept_call(self.thumbs.as_ref().expect("servers that are up"))
     }
@@ -145,6 +158,27 @@
     rig.expect_partial_result();
 }
 
+/// Guards against a successor that doesn't know how long the caller waits: the call gets its share of
+/// the caller's remaining time.
+#[test]
+fn a_call_requested_after_an_upgrade_gets_its_share_of_the_callers_time() {
+    let mut rig = Rig::start(Thumbs::Up, 300, "read_like");
+    rig.begin_run();
+    let sent_at = Instant::now();
+    rig.instance.upgrade();
+    rig.request_call();
+    let mut thumbs = Peer::accept(rig.thumbs.as_ref().expect("servers that are up"));
+    let remaining = CALLER_PATIENCE - sent_at.elapsed();
+    let request = thumbs.next_message();
+    let timeout_ms: f64 = request
+        .split(' ')
+        .nth(2)
+        .and_then(|word| word.parse().ok())
+        .expect("a timeout");
+    let share = timeout_ms / remaining.as_secs_f64() / 1e3;
+    assert!((share - DEADLINE_SHARE).abs() < 0.02, "{share}: {request}");
+}
+
 /// Guards against a call that has its effect twice: one that broke in the successor may have run, so
 /// it must be sent to no other server.
 #[test]
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -274,6 +274,9 @@
     /// Time at which its call in progress is abandoned; `None` without a call in progress.
     #[serde(rename = "calling_until")]
     pub call_deadline_at: Option<f64>,
+    /// When its caller's timeout expires; `None` if the caller waits for any time.
+    #[serde(rename = "caller_until", skip_serializing_if = "Option::is_none")]
+    pub due_at: Option<f64>,
     /// The call in progress as its router knows it; `None` if the router does not make it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub routed_call: Option<CallSnapshot>,
--- a/crates/merlinshelf-handover/tests/golden.rs
+++ b/crates/merlinshelf-handover/tests/golden.rs
@@ -186,6 +186,7 @@
         missing_parts: vec!["captions".into(), "chapters".into()],
         call_count: 136,
         call_deadline_at: Some(137.5),
+        due_at: None,
         routed_call: None,
         has_started: true,
         notification_count: 138,
@@ -300,6 +301,16 @@
     assert_records("invocation", vec![(key, invocation())]);
 }
 
+#[test]
+fn record_of_an_invocation_with_a_deadline() {
+    let key = Key::Invocation(*b"9b1f03aa5c7e2d41");
+    let invocation = Invocation {
+        due_at: Some(181.5),
+        ..invocation()
+    };
+    assert_records("invocation_with_deadline", vec![(key, invocation)]);
+}
+
 /// A call that the router makes: the invocation holds its state, the connection its attempt.
 #[test]
 fn records_of_a_routed_call() {
