Exchange: no id that was run is run again, also after its answer and an upgrade

A caller whose id had been answered before its client left, and which came again, got 500 after its timeout, and a core was held that long: the id went to the engine a second time, which passes over an id that it knows.

Cause: ids were remembered only where the caller had left before its run ended, the last 8,192 of them, and only in the process that ran them.

Now the id of every run that ended is remembered, and one that comes again is answered 400 ("new with every try", says the protocol of an id). What told a client that had left from one that had not is gone. An id whose run the engine did not start may come again.

--- a/crates/merlinshelf-backend/src/exchange/arrivals.rs
+++ b/crates/merlinshelf-backend/src/exchange/arrivals.rs
@@ -105,26 +105,11 @@
     pub(super) fn caller_disconnected(&mut self, index: usize) {
         if let Some(invocation) = self.invocations.get_mut(index) {
             invocation.reply = None;
-            invocation.caller_has_left = true;
         }
         self.counters.unheard += 1;
         self.decide(|controller, now| controller.caller_disconnected(now, index));
     }
 
-    /// The client of this connection sends nothing more. It may have closed the connection, so that
-    /// nobody reads the answers.
-    pub fn sending_closed(&mut self, number: usize) {
-        for index in self.invocations.answered_on(number) {
-            self.mark_caller_left(index);
-        }
-    }
-
-    fn mark_caller_left(&mut self, index: usize) {
-        if let Some(invocation) = self.invocations.get_mut(index) {
-            invocation.caller_has_left = true;
-        }
-    }
-
     pub fn open_connections(&self) -> usize {
         self.connections.len() - self.closed_after_freeze
     }
@@ -188,7 +173,7 @@
     }
 
     /// An invocation was read completely. False if another one with the same id is in flight, since
-    /// the two could not be distinguished, or was run for a caller that has left.
+    /// the two could not be distinguished, or was run before.
     pub fn invocation_read(&mut self, reply: ReplyAddress, arrival: Arrival) -> bool {
         if self.invocations.find(arrival.id).is_some() || self.recent_runs.contains(arrival.id) {
             return false;
@@ -217,7 +202,6 @@
             is_calling: false,
             routed_call: None,
             has_started: false,
-            caller_has_left: false,
             notifications: 0,
             call_timeout_at: None,
             command: None,
@@ -266,7 +250,6 @@
         };
         if let Some(index) = on_connection.into_iter().find(is_aborted) {
             self.counters.aborted += 1;
-            self.mark_caller_left(index);
             self.answer(index, Answer::Failed);
             self.decide(|controller, now| controller.caller_disconnected(now, index));
         }
--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -173,15 +173,13 @@
     }
 
     /// Removes an invocation that the admission controller has released. One that is still without
-    /// an answer is answered as failed. The id of one that was run for a caller that has left is
-    /// remembered.
+    /// an answer is answered as failed. The id of one that was run is remembered.
     pub(super) fn release(&mut self, index: usize) {
         self.abandon_call(index);
         self.answer(index, Answer::Failed);
         let released = self.invocations.remove(index);
         if let Some(invocation) = released
             && invocation.has_started
-            && invocation.caller_has_left
         {
             self.recent_runs.insert(invocation.id);
         }
--- a/crates/merlinshelf-backend/src/exchange/in_flight.rs
+++ b/crates/merlinshelf-backend/src/exchange/in_flight.rs
@@ -41,8 +41,6 @@
     pub routed_call: Option<CallSnapshot>,
     /// Whether a run of it has been started.
     pub has_started: bool,
-    /// Its caller has disconnected, has closed the sending direction or has aborted it.
-    pub caller_has_left: bool,
     /// How many notifications the engine has sent about it.
     pub notifications: u64,
     /// When its open call times out, relative to the exchange's start.
--- a/crates/merlinshelf-backend/src/exchange/journaling.rs
+++ b/crates/merlinshelf-backend/src/exchange/journaling.rs
@@ -20,12 +20,14 @@
         (self.journal, self.opened_connections) = (Some(journal), Some(opened));
         (self.invocations.unsaved, self.connections.unsaved) =
             (Some(Default::default()), Some(Default::default()));
+        self.recent_runs.start_journal();
     }
 
     /// Stops recording, since no predecessor observes this process any more.
     pub fn stop_journal(&mut self) {
         (self.journal, self.opened_connections) = (None, None);
         (self.invocations.unsaved, self.connections.unsaved) = (None, None);
+        self.recent_runs.stop_journal();
     }
 
     pub fn is_journaling(&self) -> bool {
@@ -78,10 +80,23 @@
                 journal.put(Key::ResponseQueue(stream), &connection);
             }
         }
+        self.put_recent_runs(&mut journal);
         journal.write();
         self.journal = Some(journal);
     }
 
+    fn put_recent_runs(&mut self, journal: &mut Journal) {
+        let unsaved = self.recent_runs.take_unsaved();
+        for number in unsaved.forgotten {
+            journal.remove(Key::RecentRuns(number));
+        }
+        for number in unsaved.changed {
+            if let Some(record) = self.recent_runs.record(number) {
+                journal.put(Key::RecentRuns(number), &record);
+            }
+        }
+    }
+
     /// Writes the record of the instance, without learned state and gossip observations.
     pub fn write_instance_to_journal(&mut self) {
         if self.is_journaling() {
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -203,7 +203,7 @@
             controller: None,
             shutdown_at: None,
             invocations: InFlightTable::default(),
-            recent_runs: RecentRuns::default(),
+            recent_runs: RecentRuns::new(memory_mb),
             connections: ConnectionTable::default(),
             timers: TimerQueue::default(),
             timers_changed: Rc::default(),
--- a/crates/merlinshelf-backend/src/exchange/restoration.rs
+++ b/crates/merlinshelf-backend/src/exchange/restoration.rs
@@ -77,6 +77,7 @@
             self.shutdown_at = Some(tokio::time::Instant::now() + seconds_until(stop, now));
         }
         self.gossip_state = instance.gossip.into_vec();
+        self.restore_recent_runs(image);
         let Some(learned) = instance.learned.or(learned) else {
             return;
         };
@@ -126,6 +127,14 @@
         }
     }
 
+    fn restore_recent_runs(&mut self, image: &Image) {
+        for key in image.keys() {
+            if let (Key::RecentRuns(number), Some(record)) = (key, image.get(key)) {
+                self.recent_runs.restore(number, &record);
+            }
+        }
+    }
+
     fn restore_invocation(
         &mut self,
         id: CallId,
@@ -170,7 +179,6 @@
             is_calling: call_timeout.is_some(),
             routed_call: invocation.routed_call,
             has_started: invocation.has_started,
-            caller_has_left: reply.is_none(),
             notifications: invocation.notification_count,
             call_timeout_at: call_timeout.map(|timeout| self.origin.elapsed() + timeout),
             command: None,
--- a/crates/merlinshelf-backend/src/exchange/snapshot.rs
+++ b/crates/merlinshelf-backend/src/exchange/snapshot.rs
@@ -84,6 +84,9 @@
                 image.put(key, &record);
             }
         }
+        for (number, record) in self.recent_runs.records() {
+            image.put(Key::RecentRuns(number), &record);
+        }
         for (stream, connection) in self.queues_with_answers() {
             image.put(Key::ResponseQueue(stream), &connection);
         }
--- a/crates/merlinshelf-backend/src/server/connection/reading.rs
+++ b/crates/merlinshelf-backend/src/server/connection/reading.rs
@@ -121,9 +121,6 @@
             IoProgress::Blocked => return Ok(false),
             IoProgress::Closed => {
                 self.stop_reading();
-                self.exchange
-                    .borrow_mut()
-                    .sending_closed(self.handle.number());
                 return Ok(false);
             }
             IoProgress::Advanced => self.idle_since = Instant::now(),
--- a/crates/merlinshelf-cli/tests/peer_faults.rs
+++ b/crates/merlinshelf-cli/tests/peer_faults.rs
@@ -169,6 +169,28 @@
     expect_run(&mut engine, 2);
 }
 
+/// Guards against a second RUN of an id that was answered before its client left: the engine passes
+/// over it, so the caller would wait for its whole timeout while a core is held.
+#[test]
+fn an_id_that_was_answered_is_not_run_again_whether_or_not_its_client_left() {
+    let rig = ProgramUnderTest::start(PROGRAM, 1024, &[]);
+    let (mut engine, mut edge) = (rig.accept_engine(), rig.connect_edge());
+    let request = fastcgi_invocation(1, "transcript-search", b"", &[]);
+    edge.send(&request);
+    expect_run(&mut engine, 1);
+    engine.send(format!("DONE 1 {} OK 1 4\r\nfine\r\n", invocation_id(1)));
+    assert!(edge.next_answer().ends_with("fine"));
+    let mut expect_rejection = |edge: &mut Peer| {
+        edge.send(&request);
+        let seen = engine.answer_stats_for(millis(300));
+        assert!(seen.is_empty(), "{seen:?}");
+        assert!(edge.next_answer().starts_with("1 400"));
+    };
+    expect_rejection(&mut edge);
+    drop(edge);
+    expect_rejection(&mut rig.connect_edge());
+}
+
 /// Guards against a process that outgrows its memory limit with clients that never complete a request.
 #[test]
 fn clients_that_stop_within_a_request_leave_the_memory_within_its_limit() {
--- a/crates/merlinshelf-handover/src/image.rs
+++ b/crates/merlinshelf-handover/src/image.rs
@@ -36,6 +36,8 @@
     DownstreamConnection(u64),
     /// An invocation, by its id.
     Invocation([u8; 16]),
+    /// A block of ids of invocations that were run, by its number.
+    RecentRuns(u64),
 }
 
 impl Key {
@@ -44,36 +46,38 @@
         match self {
             Key::Instance => (1, [0; NAME_BYTES]),
             Key::EngineConnection => (2, [0; NAME_BYTES]),
-            Key::ClientConnection(stream) => (3, encode_stream(stream)),
-            Key::ResponseQueue(stream) => (4, encode_stream(stream)),
-            Key::DownstreamConnection(stream) => (5, encode_stream(stream)),
+            Key::ClientConnection(stream) => (3, encode_number(stream)),
+            Key::ResponseQueue(stream) => (4, encode_number(stream)),
+            Key::DownstreamConnection(stream) => (5, encode_number(stream)),
             Key::Invocation(id) => (6, id),
+            Key::RecentRuns(number) => (7, encode_number(number)),
         }
     }
 
     /// Decodes the key of an entry; `None` for a kind that this version does not know.
     fn decode(kind: u8, name: [u8; NAME_BYTES]) -> Option<Key> {
-        let stream = decode_stream(name);
+        let number = decode_number(name);
         match kind {
             1 => Some(Key::Instance),
             2 => Some(Key::EngineConnection),
-            3 => Some(Key::ClientConnection(stream)),
-            4 => Some(Key::ResponseQueue(stream)),
-            5 => Some(Key::DownstreamConnection(stream)),
+            3 => Some(Key::ClientConnection(number)),
+            4 => Some(Key::ResponseQueue(number)),
+            5 => Some(Key::DownstreamConnection(number)),
             6 => Some(Key::Invocation(name)),
+            7 => Some(Key::RecentRuns(number)),
             _ => None,
         }
     }
 }
 
-/// Encodes a stream number into the last 8 bytes of a name.
-fn encode_stream(stream: u64) -> [u8; NAME_BYTES] {
+/// Encodes the number of a stream or block into the last 8 bytes of a name.
+fn encode_number(number: u64) -> [u8; NAME_BYTES] {
     let mut name = [0; NAME_BYTES];
-    name[8..].copy_from_slice(&stream.to_be_bytes());
+    name[8..].copy_from_slice(&number.to_be_bytes());
     name
 }
 
-fn decode_stream(name: [u8; NAME_BYTES]) -> u64 {
+fn decode_number(name: [u8; NAME_BYTES]) -> u64 {
     let mut low = [0; 8];
     low.copy_from_slice(&name[8..]);
     u64::from_be_bytes(low)
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -295,3 +295,16 @@
     #[serde(rename = "inv")]
     pub state: InvocationState,
 }
+
+/// Ids of invocations that were run, which must not be run again.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RecentRuns {
+    /// The ids one after another, of [`ID_BYTES`](RecentRuns::ID_BYTES) each.
+    pub ids: ByteBuf,
+}
+
+impl RecentRuns {
+    /// The size of an id: its hexadecimal digits as text.
+    pub const ID_BYTES: usize = 16;
+}
