Upgrades: a signal during a second upgrade reaches the process that serves

Cause: a process that was itself started by an upgrade asked the state machine of that upgrade, which stays "owner" for ever, and decided so in two places. Its own instance had been frozen, so nothing was drained or reloaded.

SignalRole in merlinshelf-handover now is the one place that decides which of the two state machines of a process acts on a signal: the one towards the predecessor while that observes the process, else the one towards a successor.

Tests: a_drain_during_a_second_upgrade_ends_the_successor and a_configuration_reloaded_during_a_second_upgrade_reaches_the_successor failed with the program before, pass now.

--- a/crates/merlinshelf-backend/src/process/signals.rs
+++ b/crates/merlinshelf-backend/src/process/signals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use log::{error, info, warn};
-use merlinshelf_handover::Successor;
+use merlinshelf_handover::SignalRole;
 use merlinshelf_handover::messages::MonotonicSeconds;
 use tokio::time::Instant;
 
@@ -22,22 +22,24 @@
             return Flow::Exit(0); // no client could connect yet
         }
         let deadline = monotonic_seconds() + self.config.drain_timeout.as_secs_f64();
-        match &mut self.successor {
-            Some(role) if role.state.is_owner() => role.state.drain(deadline),
+        match (self.signal_role(), &mut self.successor) {
+            (SignalRole::Successor, Some(role)) => role.state.drain(deadline),
             // The predecessor observes the exit and continues to serve.
-            Some(_) => return Flow::Exit(1),
-            None => self.predecessor.state.drain(deadline),
+            (SignalRole::NotServing, _) => return Flow::Exit(1),
+            _ => self.predecessor.state.drain(deadline),
         }
         Flow::Continue
     }
 
+    fn signal_role(&self) -> SignalRole {
+        SignalRole::of(self.successor.as_ref().map(|role| &role.state))
+    }
+
     /// SIGHUP arrived.
     pub(super) fn request_reload(&mut self) {
-        let successor = self.successor.as_ref().map(|role| &role.state);
-        if successor.is_some_and(Successor::is_owner) {
-            self.reload();
-        } else {
-            self.predecessor.state.reload();
+        match self.signal_role() {
+            SignalRole::Successor => self.reload(),
+            SignalRole::Predecessor | SignalRole::NotServing => self.predecessor.state.reload(),
         }
     }
 
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -296,10 +296,58 @@
     assert!(command.wait().expect("an end").success());
 }
 
+/// Guards against a notice that reaches nobody: a process that was itself started by an upgrade takes
+/// it while it observes its own successor, and must pass it on.
+#[test]
+fn a_drain_during_a_second_upgrade_ends_the_successor() {
+    let instance = start_upgradable(700, &[]);
+    let _engine = instance.rig.accept_engine();
+    instance.upgrade();
+    let predecessor = instance.serving_process();
+    let mut command = instance.start_upgrade_until("took_over");
+    let successor = instance.serving_process();
+    signal(predecessor, Signal::TERM);
+    let until = Instant::now() + TIMEOUT;
+    while has_process(predecessor) || has_process(successor) {
+        assert!(Instant::now() < until, "the instance does not drain");
+        std::thread::sleep(millis(10));
+    }
+    command
+        .kill()
+        .and_then(|()| command.wait())
+        .expect("an end");
+}
+
+/// Whether a process runs; one that has ended and was not reaped does not.
+fn has_process(id: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let state = status
+        .rsplit(')')
+        .next()
+        .and_then(|rest| rest.trim_start().chars().next());
+    state.is_some_and(|state| state != 'Z')
+}
+
 #[test]
 fn a_configuration_reloaded_during_probation_reaches_the_successor() {
     let instance = start_upgradable(30_000, &[]);
-    let mut engine = instance.rig.accept_engine();
+    let engine = instance.rig.accept_engine();
+    expect_reload_in_an_upgrade(&instance, engine);
+}
+
+/// Guards against a reload that reaches nobody, as above.
+#[test]
+fn a_configuration_reloaded_during_a_second_upgrade_reaches_the_successor() {
+    let instance = start_upgradable(700, &[]);
+    let engine = instance.rig.accept_engine();
+    instance.upgrade();
+    expect_reload_in_an_upgrade(&instance, engine);
+}
+
+/// Moves the engine's address during an upgrade, sends SIGHUP to the process that began it, and
+/// expects the successor's link at the new address.
+fn expect_reload_in_an_upgrade(instance: &Upgradable, mut engine: Peer) {
+    let predecessor = instance.serving_process();
     let mut edge = instance.rig.connect_edge();
     edge.send(fastcgi_invocation(1, "transcript-search", b"", &[]));
     assert!(engine.next_message().starts_with("RUN"));
@@ -313,7 +361,7 @@
         .expect("an address")
         .to_string();
     std::fs::write(&instance.rig.config, text.replace(&old, &engine_address)).expect("a file");
-    instance.rig.signal("HUP");
+    signal(predecessor, Signal::HUP);
     let mut engine = Peer::accept(&new_engine);
     assert_eq!(engine.next_message(), "ATTACH 0");
     engine.send(format!(
