Upgrades: a take-back starts its controller from the recorded start of the engine

Cause: a take-back starts the admission controller from the learned state of the freeze; there was none. The restoration returned before invocations and waiting answers, and the link counted as greeted, so that no HELLO came later.

Now a controller is started as of the engine's start in the record of its link, if there is no learned state or if that belongs to an earlier start. Answers and invocations are restored in every case. restore() is split into its steps.

--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -20,7 +20,9 @@
 
 use super::unacknowledged::{SentCommand, UnacknowledgedCommands};
 use super::{PeersReceiver, connect, invalid_message};
-use crate::exchange::{Command, FrozenConnection, Shared, monotonic_seconds, pass_to_predecessor};
+use crate::exchange::{
+    Command, FrozenConnection, START_TOLERANCE, Shared, monotonic_seconds, pass_to_predecessor,
+};
 use crate::fault;
 use crate::ring::{IoProgress, Ring};
 
@@ -33,8 +35,6 @@
 /// A connection on which a request, or an ATTACH after the first HELLO, stays unanswered for this
 /// long is dead and is replaced.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Start times of the engine that differ by no more than this mean the same start.
-const START_TOLERANCE: Duration = Duration::from_secs(1);
 /// With more than this unsent, commands wait in the exchange.
 const MAX_UNSENT_BYTES: usize = 256 * 1024;
 
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -46,7 +46,7 @@
 pub use policy::PolicyOverlay;
 pub use quota::CallDemand;
 use recent_runs::RecentRuns;
-pub use runs::Command;
+pub use runs::{Command, START_TOLERANCE};
 use send_queue::SendQueue;
 pub use snapshot::{
     FrozenConnection, OpenedConnection, PassedDescriptors, monotonic_seconds, pass_to_predecessor,
--- a/crates/merlinshelf-backend/src/exchange/restoration.rs
+++ b/crates/merlinshelf-backend/src/exchange/restoration.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use log::error;
-use merlinshelf_admission::AdmissionController;
-use merlinshelf_handover::records;
+use merlinshelf_admission::{AdmissionController, LearnedState};
+use merlinshelf_handover::records::{self, EngineConnectionRecord};
 use merlinshelf_handover::{Image, Key};
 use merlinshelf_protocol::CallId;
 
 use super::Exchange;
 use super::in_flight::{InFlightInvocation, ReplyAddress};
 use super::restored_calls::SentAttempts;
-use super::runs::Command;
+use super::runs::{Command, START_TOLERANCE};
 use super::snapshot::monotonic_seconds;
 
 /// A call whose deadline passed during the handover ends by its timer, after this.
@@ -26,6 +26,19 @@
     Duration::from_secs_f64((at - now).clamp(0.0, MAX_SECONDS_AHEAD))
 }
 
+/// The invocations of an image, in the order of their arrival.
+fn invocations_in_order(image: &Image) -> Vec<(CallId, records::Invocation)> {
+    let mut invocations: Vec<(CallId, records::Invocation)> = image
+        .keys()
+        .filter_map(|key| match key {
+            Key::Invocation(id) => CallId::parse(&id).zip(image.get(key)),
+            _ => None,
+        })
+        .collect();
+    invocations.sort_by_key(|(_, invocation)| invocation.arrival_order);
+    invocations
+}
+
 impl Exchange {
     /// Whether the image can be continued with these settings.
     ///
@@ -53,7 +66,7 @@
         &mut self,
         image: &Image,
         downstream_connections: &[records::DownstreamConnectionRecord],
-        learned: Option<merlinshelf_admission::LearnedState>,
+        learned: Option<LearnedState>,
     ) {
         let instance: records::Instance = image.get(Key::Instance).unwrap_or_default();
         let next_streams = image.keys().filter_map(|key| match key {
@@ -78,52 +91,78 @@
         }
         self.gossip_state = instance.gossip.into_vec();
         self.restore_recent_runs(image);
-        let Some(learned) = instance.learned.or(learned) else {
-            return;
+        self.restore_controller(image, instance.learned.or(learned), now);
+        let connections = self.connection_by_stream();
+        self.restore_answers(image, &connections);
+        let sent_attempts = SentAttempts::new(downstream_connections);
+        for (id, invocation) in invocations_in_order(image) {
+            self.restore_invocation(id, invocation, &connections, &sent_attempts, now);
+        }
+        if self.controller.is_none() {
+            self.fail_all_invocations();
+        }
+    }
+
+    /// Starts the admission controller as of the recorded start of the engine, with what was learned
+    /// about that start. A process that journals records no learned state, and its engine may have
+    /// come up or was restarted since the image was taken. Without a recorded start the engine has
+    /// not been up yet, and its HELLO starts the controller.
+    fn restore_controller(&mut self, image: &Image, learned: Option<LearnedState>, now: f64) {
+        let engine: EngineConnectionRecord = image.get(Key::EngineConnection).unwrap_or_default();
+        let engine_uptime = engine.engine_started_at.map(|started_at| now - started_at);
+        let clock = self.seconds();
+        let is_current = |learned: &LearnedState| {
+            let latest_start = learned.engine_started_at + START_TOLERANCE.as_secs_f64();
+            engine_uptime.is_none_or(|uptime| clock - uptime <= latest_start)
         };
-        match AdmissionController::start(
-            learned.engine_started_at,
-            self.seed,
-            self.settings.clone(),
-        ) {
+        match (learned.filter(is_current), engine_uptime) {
+            (Some(learned), _) => self.continue_controller(learned),
+            (None, Some(uptime)) => self.start_controller(uptime),
+            (None, None) => {}
+        }
+    }
+
+    fn continue_controller(&mut self, learned: LearnedState) {
+        let started =
+            AdmissionController::start(learned.engine_started_at, self.seed, self.settings.clone());
+        match started {
             Ok((mut controller, decisions)) => {
                 controller.restore_learned_state(learned);
                 self.controller = Some(controller);
                 self.carry_out(decisions);
             }
-            Err(reason) => return error!("admission controller not started: {reason}"),
+            Err(reason) => error!("admission controller not started: {reason}"),
         }
-        let connections: HashMap<u64, usize> = self
-            .connections
+    }
+
+    fn connection_by_stream(&self) -> HashMap<u64, usize> {
+        self.connections
             .numbers()
             .filter_map(|number| Some((self.connections.queue(number)?.0, number)))
-            .collect();
-        let mut invocations: Vec<(CallId, records::Invocation)> = Vec::new();
+            .collect()
+    }
+
+    fn restore_answers(&mut self, image: &Image, connections: &HashMap<u64, usize>) {
         for key in image.keys() {
-            match key {
-                Key::Invocation(id) => {
-                    let id = CallId::parse(&id);
-                    invocations.extend(id.zip(image.get(key)));
-                }
-                Key::ResponseQueue(stream) => {
-                    let answers: records::ResponseQueueRecord = image.get(key).unwrap_or_default();
-                    if let Some(queue) = connections
-                        .get(&stream)
-                        .and_then(|connection| self.connections.queue_mut(*connection))
-                    {
-                        answers
-                            .answers
-                            .into_iter()
-                            .for_each(|(tag, answer)| queue.push((tag, answer.into())));
-                    }
+            let Key::ResponseQueue(stream) = key else {
+                continue;
+            };
+            let record: records::ResponseQueueRecord = image.get(key).unwrap_or_default();
+            let queue = connections
+                .get(&stream)
+                .and_then(|connection| self.connections.queue_mut(*connection));
+            if let Some(queue) = queue {
+                for (tag, answer) in record.answers {
+                    queue.push((tag, answer.into()));
                 }
-                _ => {}
             }
         }
-        invocations.sort_by_key(|(_, invocation)| invocation.arrival_order);
-        let sent_attempts = SentAttempts::new(downstream_connections);
-        for (id, invocation) in invocations {
-            self.restore_invocation(id, invocation, &connections, &sent_attempts, now);
+    }
+
+    /// Answers the invocations that no admission controller can decide on.
+    fn fail_all_invocations(&mut self) {
+        for index in self.invocations.all() {
+            self.release(index);
         }
     }
 
--- a/crates/merlinshelf-backend/src/exchange/runs.rs
+++ b/crates/merlinshelf-backend/src/exchange/runs.rs
@@ -15,6 +15,9 @@
 /// Gauges that may be older than this are ignored.
 pub(super) const MAX_GAUGE_AGE: Duration = Duration::from_millis(100);
 
+/// Start times of the engine that differ by no more than this mean the same start.
+pub const START_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// A command to the engine.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -296,6 +296,46 @@
     assert!(command.wait().expect("an end").success());
 }
 
+/// Guards against a take-back without an admission controller: the engine came up after the freeze,
+/// so that the frozen state knows nothing of it.
+#[test]
+fn a_predecessor_that_takes_back_knows_an_engine_that_came_up_meanwhile() {
+    let instance = start_upgradable(30_000, &[]);
+    let mut engine = Peer::accept(&instance.rig.engine_listener);
+    assert_eq!(engine.next_message(), "ATTACH 0");
+    let mut command = instance.start_upgrade_until("took_over");
+    engine.send("HELLO COLD 10\r\n");
+    engine.answer_stats(5);
+    let mut edge = instance.rig.connect_edge();
+    edge.send(fastcgi_invocation(1, "transcript-search", b"", &[]));
+    assert!(engine.next_message().starts_with("RUN "));
+    signal(instance.serving_process(), Signal::KILL);
+    assert_eq!(command.wait().expect("an end").code(), Some(1));
+    engine.send(format!("DONE 1 {} OK 9 4\r\nfine\r\n", invocation_id(1)));
+    assert!(edge.next_answer().ends_with("fine"));
+    run_once(&mut engine, &mut edge, 2);
+}
+
+/// Guards against a take-back with the runs and the state of an engine that was restarted since.
+#[test]
+fn a_predecessor_that_takes_back_knows_that_the_engine_was_restarted() {
+    let instance = start_upgradable(30_000, &[]);
+    let (mut engine, mut edge) = (instance.rig.accept_engine(), instance.rig.connect_edge());
+    run_once(&mut engine, &mut edge, 1);
+    let mut command = instance.start_upgrade_until("took_over");
+    engine.send("WHAT\r\n");
+    let mut engine = Peer::accept(&instance.rig.engine_listener);
+    assert!(engine.next_message().starts_with("ATTACH "));
+    engine.send("HELLO COLD 10\r\n");
+    engine.answer_stats(5);
+    edge.send(fastcgi_invocation(2, "transcript-search", b"", &[]));
+    assert!(engine.next_message().starts_with("RUN "));
+    signal(instance.serving_process(), Signal::KILL);
+    assert_eq!(command.wait().expect("an end").code(), Some(1));
+    engine.send(format!("DONE 1 {} OK 9 4\r\nfine\r\n", invocation_id(2)));
+    assert!(edge.next_answer().ends_with("fine"));
+}
+
 /// Guards against a notice that reaches nobody: a process that was itself started by an upgrade takes
 /// it while it observes its own successor, and must pass it on.
 #[test]
