Fleet: processes are killed by their own time for a graceful shutdown

Cause: the agent worked out one time for graceful shutdowns from the files as they were at its own start, and kept it through apply and restarts. Drains, restarts, scaling down, hangs and adopted processes all used it.

An instance now reports stop_ms in its status; the agent kills by that and keeps it in its record, for a later agent. Until a process has reported, the longest time of all configurations so far counts. Records without a time are encoded as before.

Test: process_is_killed_by_its_own_time_for_a_graceful_shutdown, in four cases, fails with the figure of the agent's start in place of the reported one, passes now.

--- a/crates/merlinshelf-agent/src/agent/event_loop.rs
+++ b/crates/merlinshelf-agent/src/agent/event_loop.rs
@@ -194,7 +194,11 @@
             return Err(ApplyError::FolderChanged);
         }
         let now = self.now();
-        Ok(self.fleet.apply(now, spec)?)
+        let shutdown_timeout_seconds = fleet_file::shutdown_timeout_seconds(&spec);
+        self.fleet.apply(now, spec)?;
+        self.fleet
+            .extend_default_shutdown_timeout(shutdown_timeout_seconds);
+        Ok(())
     }
 
     fn handle_policy_event(&mut self, event: PolicyEvent) {
--- a/crates/merlinshelf-agent/src/agent/instance_processes.rs
+++ b/crates/merlinshelf-agent/src/agent/instance_processes.rs
@@ -19,6 +19,7 @@
 use super::recovery::SearchReason;
 use super::{Agent, AgentEvent, SupervisedProcess};
 use crate::control_client::ControlClient;
+use crate::fleet_file;
 use crate::instance_files::{self, InstancePaths};
 use crate::process::{self, Process};
 
@@ -56,6 +57,8 @@
         let Some(instance) = self.fleet.get(&name) else {
             return;
         };
+        // Its configuration may have changed without a new fleet file.
+        let shutdown_timeout_seconds = fleet_file::shutdown_timeout_seconds(self.fleet.spec());
         let started = match instance_files::write_instance_files(self.fleet.spec(), instance) {
             Ok(paths) if control::is_taken(&paths.control) => {
                 return self.search_process(name, SearchReason::SocketTaken);
@@ -64,6 +67,8 @@
             Err(error) => Err(error),
         };
         let now = self.now();
+        self.fleet
+            .extend_default_shutdown_timeout(shutdown_timeout_seconds);
         let supervised = started.and_then(|identity| {
             self.fleet.process_started(now, &name, identity.clone());
             if self.supervise(&name, &identity) {
--- a/crates/merlinshelf-fleet/src/fleet/mod.rs
+++ b/crates/merlinshelf-fleet/src/fleet/mod.rs
@@ -37,8 +37,9 @@
     group_counts: BTreeMap<String, u32>,
     group_programs: BTreeMap<String, String>,
     history: History,
-    /// Longest time for a graceful shutdown.
-    shutdown_timeout_seconds: f64,
+    /// The time for a graceful shutdown of a process that has not reported its own: the longest of
+    /// all configurations so far.
+    default_shutdown_timeout_seconds: f64,
     actions: VecDeque<Action>,
     /// The record has changed since the last `take_record`.
     is_record_changed: bool,
@@ -64,7 +65,7 @@
             group_counts: record.group_counts,
             group_programs: record.group_programs,
             history: record.history,
-            shutdown_timeout_seconds,
+            default_shutdown_timeout_seconds: shutdown_timeout_seconds,
             actions: VecDeque::new(),
             is_record_changed: true,
             unix_seconds,
@@ -90,12 +91,19 @@
             .or_insert_with(|| Instance::new(name, group, index, program));
         instance.is_disabled = record.is_disabled;
         instance.is_shutdown_requested = record.is_shutdown_requested;
+        instance.shutdown_timeout_seconds = record.shutdown_timeout_seconds;
         instance.backoff.crashes_in_a_row = record.crashes_in_a_row;
         if !record.program.is_empty() {
             instance.program = record.program;
         }
     }
 
+    /// A configuration gives its processes this time for a graceful shutdown. Processes of earlier
+    /// configurations may still exist, so that a shorter time changes nothing.
+    pub fn extend_default_shutdown_timeout(&mut self, seconds: f64) {
+        self.default_shutdown_timeout_seconds = self.default_shutdown_timeout_seconds.max(seconds);
+    }
+
     /// The next action for the host; `None` until another event occurs.
     pub fn poll_action(&mut self) -> Option<Action> {
         self.actions.pop_front()
@@ -137,6 +145,7 @@
                 program: instance.program.clone(),
                 is_disabled: instance.is_disabled,
                 is_shutdown_requested: instance.is_shutdown_requested,
+                shutdown_timeout_seconds: instance.shutdown_timeout_seconds,
                 crashes_in_a_row: instance.backoff.crashes_in_a_row,
             };
             (instance.name.clone(), record)
--- a/crates/merlinshelf-fleet/src/fleet/observation.rs
+++ b/crates/merlinshelf-fleet/src/fleet/observation.rs
@@ -9,10 +9,11 @@
     /// A running process of an instance was found: an earlier agent started it, or it took over while
     /// no agent was running.
     pub fn process_found(&mut self, now: f64, name: &str, identity: Identity) {
-        let kill_at = self.shutdown_deadline(now);
+        let kill_at = self.shutdown_deadline(now, name);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
+        let shutdown_timeout_seconds = instance.shutdown_timeout_seconds;
         if instance.is_shutdown_requested {
             instance.process_started(now, identity, State::Draining);
             instance.is_shutdown_requested = true;
@@ -20,6 +21,7 @@
         } else {
             instance.process_started(now, identity, State::Adopted);
         }
+        instance.shutdown_timeout_seconds = shutdown_timeout_seconds;
         self.add_event(Some(name), "adopted");
     }
 
@@ -80,7 +82,9 @@
     /// An instance has answered a health check.
     pub fn report_received(&mut self, now: f64, name: &str, report: Report) {
         let warm_seconds = self.spec.change.warm_ms as f64 / 1e3;
-        let kill_at = self.shutdown_deadline(now);
+        let shutdown_timeout_seconds = report
+            .shutdown_timeout_seconds
+            .unwrap_or(self.default_shutdown_timeout_seconds);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
@@ -92,13 +96,16 @@
             return self.foreign_process_answered(now, name, pid);
         }
         let former_state = instance.state;
+        let former_timeout_seconds = instance.shutdown_timeout_seconds;
         instance.record_report(now, report);
         let state = reported_state(instance, instance.is_warm(now, warm_seconds));
         if state == State::Draining && !instance.is_shutdown_requested {
             instance.is_shutdown_requested = true;
-            instance.kill_at = Some(kill_at);
+            instance.kill_at = Some(now + shutdown_timeout_seconds + SHUTDOWN_MARGIN_SECONDS);
         }
         instance.enter_state(now, state);
+        // The record has the time for a graceful shutdown, which a later agent needs.
+        self.is_record_changed |= instance.shutdown_timeout_seconds != former_timeout_seconds;
         if !is_known {
             self.add_event(Some(name), format!("process {pid} has taken over"));
         }
@@ -160,9 +167,14 @@
         }
     }
 
-    /// Time at which a process is killed if its graceful shutdown begins now.
-    pub(super) fn shutdown_deadline(&self, now: f64) -> f64 {
-        now + self.shutdown_timeout_seconds + SHUTDOWN_MARGIN_SECONDS
+    /// Time at which the process of an instance is killed if its graceful shutdown begins now.
+    pub(super) fn shutdown_deadline(&self, now: f64, name: &str) -> f64 {
+        let reported = self
+            .instances
+            .get(name)
+            .and_then(|instance| instance.shutdown_timeout_seconds);
+        let timeout_seconds = reported.unwrap_or(self.default_shutdown_timeout_seconds);
+        now + timeout_seconds + SHUTDOWN_MARGIN_SECONDS
     }
 }
 
--- a/crates/merlinshelf-fleet/src/fleet/reconcile.rs
+++ b/crates/merlinshelf-fleet/src/fleet/reconcile.rs
@@ -49,7 +49,7 @@
     fn check_silence(&mut self, now: f64, name: &str) {
         let hang_seconds = self.spec.restarts.hangs_ms as f64 / 1e3;
         let answer_timeout_seconds = self.warm_timeout_seconds().max(hang_seconds);
-        let kill_at = self.shutdown_deadline(now);
+        let kill_at = self.shutdown_deadline(now, name);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
@@ -145,7 +145,7 @@
     /// Requests a graceful shutdown. Repeated calls send no second request, since that might shorten
     /// the time for the shutdown; a `timeout_seconds` can bring the kill forward.
     pub(super) fn request_shutdown(&mut self, now: f64, name: &str, timeout_seconds: Option<f64>) {
-        let default_kill_at = self.shutdown_deadline(now);
+        let default_kill_at = self.shutdown_deadline(now, name);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
--- a/crates/merlinshelf-fleet/src/instance.rs
+++ b/crates/merlinshelf-fleet/src/instance.rs
@@ -42,6 +42,9 @@
     pub memory_kb: u64,
     /// The program file that its process executes, if known.
     pub program: Option<String>,
+    /// The time that the process has for a graceful shutdown, in seconds; `None` from programs that
+    /// do not report it.
+    pub shutdown_timeout_seconds: Option<f64>,
 }
 
 /// The state of an instance.
@@ -147,6 +150,8 @@
     pub is_disabled: bool,
     /// A graceful shutdown was requested. A second request might shorten the time for it.
     pub is_shutdown_requested: bool,
+    /// The time that its process has for a graceful shutdown, in seconds, once reported.
+    pub shutdown_timeout_seconds: Option<f64>,
     /// Time at which its process is killed.
     pub kill_at: Option<f64>,
     /// A kill of its process was requested.
@@ -179,6 +184,7 @@
             program,
             is_disabled: false,
             is_shutdown_requested: false,
+            shutdown_timeout_seconds: None,
             kill_at: None,
             is_kill_sent: false,
             is_upgrade_requested: false,
@@ -219,6 +225,7 @@
     fn clear_process(&mut self) {
         self.identity = None;
         self.is_shutdown_requested = false;
+        self.shutdown_timeout_seconds = None;
         self.kill_at = None;
         self.is_kill_sent = false;
         self.is_upgrade_requested = false;
@@ -251,6 +258,9 @@
             counts,
         });
         self.identity = Some(report.identity.clone());
+        self.shutdown_timeout_seconds = report
+            .shutdown_timeout_seconds
+            .or(self.shutdown_timeout_seconds);
         self.report = Some(report);
     }
 
--- a/crates/merlinshelf-fleet/tests/fleet/processes.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/processes.rs
@@ -1,6 +1,6 @@
 //! Starts, crashes and hangs of individual processes.
 
-use merlinshelf_fleet::{Identity, Report, State};
+use merlinshelf_fleet::{Command, Identity, Report, State};
 
 use crate::simulation::{Simulation, serving_fleet, spec};
 
@@ -60,6 +60,47 @@
     );
 }
 
+/// Guards against processes that are killed by the time for a graceful shutdown of an earlier
+/// configuration, whatever ends them.
+#[test]
+fn process_is_killed_by_its_own_time_for_a_graceful_shutdown() {
+    let drain = Command::Drain {
+        slowest_first: false,
+        max_in_progress: None,
+    };
+    let ends: [(&str, fn(&mut Simulation, &Command)); 4] = [
+        ("drain", |simulation, drain| simulation.begin_plan(drain)),
+        ("restart", |simulation, _| {
+            simulation.begin_plan(&Command::Restart)
+        }),
+        ("scaling down", |simulation, _| {
+            simulation
+                .fleet
+                .scale(simulation.now, "web", 1)
+                .expect("it fits");
+        }),
+        ("drain, and another agent", |simulation, drain| {
+            simulation.begin_plan(drain);
+            simulation.run_for(1.0);
+            assert!(simulation.replace_agent());
+        }),
+    ];
+    for (name, end) in ends {
+        let mut simulation = serving_fleet(8);
+        // A new configuration has given the processes more time than the agent knows from its start.
+        simulation.stop_seconds = Some(9.0);
+        simulation.drain_seconds = 8.0;
+        simulation.run_for(1.0);
+        end(&mut simulation, &drain);
+        simulation.run_until(30.0, |simulation| {
+            let is_killed = simulation.trace.iter().any(|line| line.contains("Kill"));
+            is_killed || simulation.events().contains("ended with status 0")
+        });
+        let killed = simulation.trace.iter().any(|line| line.contains("Kill"));
+        assert!(!killed, "{name}: {}", simulation.events());
+    }
+}
+
 #[test]
 fn foreign_process_is_not_signalled() {
     let mut simulation = serving_fleet(3);
--- a/crates/merlinshelf-fleet/tests/golden/record.rs
+++ b/crates/merlinshelf-fleet/tests/golden/record.rs
@@ -71,6 +71,7 @@
                     program: "/programs/33".into(),
                     is_disabled: true,
                     is_shutdown_requested: false,
+                    shutdown_timeout_seconds: None,
                     crashes_in_a_row: 34,
                 },
             ),
@@ -81,6 +82,7 @@
                     program: "/programs/35".into(),
                     is_disabled: false,
                     is_shutdown_requested: true,
+                    shutdown_timeout_seconds: None,
                     crashes_in_a_row: 36,
                 },
             ),
@@ -157,6 +159,28 @@
     ]
 }
 
+/// The time for a graceful shutdown is left out of the records above, as by earlier versions.
+#[test]
+fn stored_record_with_the_time_for_a_graceful_shutdown() {
+    let instance = InstanceRecord {
+        shutdown_timeout_seconds: Some(71.5),
+        ..InstanceRecord::default()
+    };
+    let record = Record {
+        instances: BTreeMap::from([("web.7".to_owned(), instance)]),
+        ..Record::default()
+    };
+    let encode =
+        |record: &Record| rmp_serde::to_vec_named(record).expect("a record can be encoded");
+    let labelled = [("its process has reported it", record)];
+    check_encoding(
+        "record_with_shutdown_timeout.hex",
+        &labelled,
+        encode,
+        |bytes| rmp_serde::from_slice(bytes).expect("a record"),
+    );
+}
+
 #[test]
 fn stored_record_of_the_agent() {
     // `merlinshelf-agent` stores these bytes inside its own frame.
