--- a/crates/merlinshelf-agent/tests/golden/support/samples.rs
+++ b/crates/merlinshelf-agent/tests/golden/support/samples.rs
@@ -93,6 +93,7 @@
         program: "/programs/33".into(),
         is_disabled: true,
         is_shutdown_requested: false,
+        shutdown_timeout_seconds: None,
         crashes_in_a_row: 34,
     };
     let second = InstanceRecord {
@@ -100,6 +101,7 @@
         program: "/programs/35".into(),
         is_disabled: true,
         is_shutdown_requested: true,
+        shutdown_timeout_seconds: None,
         crashes_in_a_row: 36,
     };
     Record {
