Upgrades: a successor waits for nothing that a suspended predecessor has to do

Cause: the event loop of the successor waited itself, up to 500 ms a message, for room in the channel on which it passes the descriptors of opened connections. It took opened connections before timeouts, so that with more than two a second no timeout was handled, neither the one that lets it go on alone.

Messages to the predecessor now wait in an outbox, which is sent as the channel accepts it. Timeouts that are due are handled after every event.

Test: new_connections_are_served_while_the_predecessor_is_suspended failed with the program before, passes now.

--- a/crates/merlinshelf-backend/src/client/catalogue/connection.rs
+++ b/crates/merlinshelf-backend/src/client/catalogue/connection.rs
@@ -164,7 +164,7 @@
     /// Closes it also where a predecessor has a copy of the socket that would leave it open.
     pub(super) fn close(&self, exchange: &Shared) {
         let mut exchange = exchange.borrow_mut();
-        if exchange.is_journaling() {
+        if exchange.shares_descriptors() {
             exchange.journal_removal(&[Key::DownstreamConnection(self.stream)]);
             exchange.write_journal();
             let _ = shutdown(&self.socket, Shutdown::Both);
--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -312,7 +312,7 @@
     /// open.
     fn close(&self, connection: &Connection) {
         self.journal_state(None);
-        if self.exchange.borrow().is_journaling() {
+        if self.exchange.borrow().shares_descriptors() {
             let _ = shutdown(&connection.socket, Shutdown::Both);
         }
     }
--- a/crates/merlinshelf-backend/src/exchange/journaling.rs
+++ b/crates/merlinshelf-backend/src/exchange/journaling.rs
@@ -1,7 +1,7 @@
 //! The journal of a successor on probation: each change is recorded before its effect is visible
 //! outside, so that the predecessor can recover everything if this process dies.
 
-use merlinshelf_handover::Key;
+use merlinshelf_handover::{Key, records};
 use serde::Serialize;
 use tokio::sync::mpsc;
 
@@ -85,6 +85,19 @@
         self.journal = Some(journal);
     }
 
+    /// Writes that this process goes on alone: later changes are not recorded.
+    pub fn write_detachment_to_journal(&mut self) {
+        self.journal_record(Key::Detached, &records::Detached::default());
+        self.write_journal();
+        self.is_detached = true;
+    }
+
+    /// Whether another process may hold copies of this one's connections, which would keep them open:
+    /// a predecessor that observes this process, or one that it has detached from.
+    pub fn shares_descriptors(&self) -> bool {
+        self.is_journaling() || self.is_detached
+    }
+
     fn put_recent_runs(&mut self, journal: &mut Journal) {
         let unsaved = self.recent_runs.take_unsaved();
         for number in unsaved.forgotten {
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -110,6 +110,8 @@
     /// Records each change before its effect is visible, while the predecessor observes this
     /// process.
     journal: Option<Journal>,
+    /// This process has detached from its predecessor, which may be suspended.
+    is_detached: bool,
     /// Sends opened connections to the task that passes them to the predecessor.
     opened_connections: Option<mpsc::UnboundedSender<OpenedConnection>>,
     /// Commands that another process wrote to the engine connection and whose receipt the engine
@@ -220,6 +222,7 @@
             frozen_connections: Vec::new(),
             closed_after_freeze: 0,
             journal: None,
+            is_detached: false,
             opened_connections: None,
             inherited_commands: Vec::new(),
             resumed_calls: Vec::new(),
--- a/crates/merlinshelf-backend/src/process/events.rs
+++ b/crates/merlinshelf-backend/src/process/events.rs
@@ -6,6 +6,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Instant, sleep_until};
 
+use super::successor_role::SuccessorRole;
 use super::{Drain, Flow, Process};
 use crate::control::PendingRequest;
 use crate::exchange::OpenedConnection;
@@ -48,6 +49,8 @@
     SuccessorExited,
     /// A message from the predecessor, or the end of its channel.
     FromPredecessor(io::Result<ReceivedMessage>),
+    /// The channel to the predecessor may accept messages that wait.
+    PredecessorWritable,
     /// The instance has opened a connection.
     ConnectionOpened(OpenedConnection),
     /// A timeout of a state machine has expired, or the wait for a policy lease is over.
@@ -78,6 +81,7 @@
             () = exited(guard) => Event::SuccessorExited,
             received = receive(successor_channel) => Event::FromSuccessor(received),
             received = receive(predecessor_channel) => Event::FromPredecessor(received),
+            () = writable(successor.as_ref()) => Event::PredecessorWritable,
             Some(opened) = opened_connections.receiver.recv() => Event::ConnectionOpened(opened),
             _ = signals.hangup.recv() => Event::ReloadRequested,
             _ = signals.user_defined_1.recv() => Event::CountersRequested,
@@ -114,12 +118,23 @@
             Event::SuccessorExited => self.successor_exited(),
             Event::FromPredecessor(Ok(received)) => self.handle_predecessor_message(received),
             Event::FromPredecessor(Err(_)) => self.predecessor_exited(),
-            Event::ConnectionOpened(opened) => self.send_opened_connection(opened).await,
+            Event::PredecessorWritable => self.flush_to_predecessor(),
+            Event::ConnectionOpened(opened) => self.send_opened_connection(opened),
             Event::TimeoutReached => self.handle_timeout(),
         }
         Flow::Continue
     }
 
+    /// Handles the timeouts that are due, whatever other events are pending.
+    pub(super) fn handle_due_timeouts(&mut self) {
+        if self
+            .next_timeout()
+            .is_some_and(|timeout| timeout <= Instant::now())
+        {
+            self.handle_timeout();
+        }
+    }
+
     fn handle_timeout(&mut self) {
         let now = self.now();
         self.predecessor.state.handle_timeout(now);
@@ -137,7 +152,7 @@
             }
             let successor = self.successor.as_mut();
             match successor.and_then(|role| role.state.poll_action()) {
-                Some(action) => self.carry_out_as_successor(action).await?,
+                Some(action) => self.carry_out_as_successor(action)?,
                 None => return Ok(Flow::Continue),
             }
         }
@@ -158,6 +173,14 @@
     }
 }
 
+/// Waits until the channel to the predecessor may accept messages that wait.
+async fn writable(role: Option<&SuccessorRole>) {
+    match role.and_then(|role| role.channel.as_ref().filter(|_| !role.outbox.is_empty())) {
+        Some(channel) => channel.writable().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn reached(timeout: Option<Instant>) {
     match timeout {
         Some(timeout) => sleep_until(timeout).await,
--- a/crates/merlinshelf-backend/src/process/mod.rs
+++ b/crates/merlinshelf-backend/src/process/mod.rs
@@ -159,6 +159,7 @@
             if let Flow::Exit(status) = self.handle_event(event).await {
                 return Ok(status);
             }
+            self.handle_due_timeouts();
         }
     }
 
--- a/crates/merlinshelf-backend/src/process/successor_role.rs
+++ b/crates/merlinshelf-backend/src/process/successor_role.rs
@@ -1,7 +1,7 @@
 //! The upgrade in the role of the successor: actions towards the predecessor, and messages from it.
 
 use std::io;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::OwnedFd;
 use std::os::unix::process::parent_id;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use crate::exchange::{OpenedConnection, PassedDescriptors};
 use crate::fault;
 use crate::instance::RestoredInstance;
-use crate::upgrade::channel::{Channel, ReceivedMessage};
+use crate::upgrade::channel::{Channel, Outbox, ReceivedMessage, SEND_TIMEOUT};
 
 /// With more unread journal bytes, the predecessor counts as hung: it reads the journal 20 times per
 /// second otherwise.
@@ -27,6 +27,9 @@
     pub predecessor_id: u32,
     /// `None` once the predecessor has exited or has released this process.
     pub channel: Option<Channel>,
+    /// Messages to the predecessor that the channel has not accepted yet. The predecessor may be
+    /// suspended, and this process must not wait for it.
+    pub outbox: Outbox,
     /// Descriptors that the predecessor has transferred.
     pub received: PassedDescriptors,
     /// The restored instance until it is activated.
@@ -40,12 +43,13 @@
             state: Successor::new(probation, VERSION),
             predecessor_id: parent_id(),
             channel: Some(Channel::new(channel)?),
+            outbox: Outbox::default(),
             received: PassedDescriptors::new(),
             restored: None,
         })
     }
 
-    async fn send(&self, message: &Message) {
+    fn send(&mut self, message: Message) {
         match message {
             Message::Hello { .. } => fault::injection_point("successor.hello"),
             Message::Ready => fault::injection_point("successor.ready"),
@@ -53,25 +57,34 @@
             Message::Heartbeat => fault::injection_point("successor.heartbeat"),
             _ => {}
         }
-        if let Some(channel) = &self.channel {
+        // A heartbeat tells nothing more than a message that waits.
+        if message != Message::Heartbeat || self.outbox.is_empty() {
+            self.outbox.push(message);
+        }
+        self.flush();
+    }
+
+    /// Sends the messages that the channel accepts now.
+    pub(super) fn flush(&mut self) {
+        match &self.channel {
             // An error means that the predecessor has exited, which is a separate event.
-            let _ = channel.send(message, &[]).await;
+            Some(channel) => drop(self.outbox.flush(channel)),
+            None => self.outbox.clear(),
         }
     }
+
+    /// Nothing more is sent to the predecessor or received from it.
+    fn close_channel(&mut self) {
+        self.channel = None;
+        self.outbox.clear();
+    }
 }
 
 impl Process {
     /// Carries out one action, and reports its result to the state machine.
-    pub(super) async fn carry_out_as_successor(
-        &mut self,
-        action: Action,
-    ) -> Result<(), ServeError> {
+    pub(super) fn carry_out_as_successor(&mut self, action: Action) -> Result<(), ServeError> {
         match action {
-            Action::Send(message) => {
-                if let Some(role) = &self.successor {
-                    role.send(&message).await;
-                }
-            }
+            Action::Send(message) => self.send_to_predecessor(message),
             Action::Restore => self.restore(),
             Action::Activate => self.activate(),
             Action::StopRecording => self.stop_recording(),
@@ -82,6 +95,16 @@
         Ok(())
     }
 
+    fn send_to_predecessor(&mut self, message: Message) {
+        if let (Message::Detached, Some(instance)) = (&message, &self.instance) {
+            // The journal tells it also if the channel accepts nothing more.
+            instance.exchange.borrow_mut().write_detachment_to_journal();
+        }
+        if let Some(role) = &mut self.successor {
+            role.send(message);
+        }
+    }
+
     fn restore(&mut self) {
         let now = self.now();
         let result = self.restore_received();
@@ -120,7 +143,7 @@
     fn stop_recording(&mut self) {
         info!("no longer observed by the predecessor; recording stopped");
         if let Some(role) = &mut self.successor {
-            role.channel = None;
+            role.close_channel();
         }
         if let Some(instance) = &self.instance {
             instance.exchange.borrow_mut().stop_journal();
@@ -145,7 +168,7 @@
     pub(super) fn predecessor_exited(&mut self) {
         let now = self.now();
         if let Some(role) = &mut self.successor {
-            role.channel = None;
+            role.close_channel();
             role.state.predecessor_exited(now);
         }
     }
@@ -153,18 +176,23 @@
     /// Sends a copy of a connection that the instance has opened. The instance waits for this before
     /// any byte passes on the connection: otherwise the predecessor could not recover the connection
     /// if this process died in between.
-    pub(super) async fn send_opened_connection(&self, opened: OpenedConnection) {
-        let channel = self
-            .successor
-            .as_ref()
-            .and_then(|role| role.channel.as_ref());
-        if let Some(channel) = channel {
-            let message = Message::ConnectionOpened { role: opened.role };
-            // An error means that the predecessor has exited, which is a separate event.
-            let _ = channel.send(&message, &[opened.descriptor.as_fd()]).await;
+    pub(super) fn send_opened_connection(&mut self, opened: OpenedConnection) {
+        let Some(role) = &mut self.successor else {
+            // The task that opened it may have ended meanwhile.
+            let _ = opened.acknowledged.send(());
+            return;
+        };
+        let message = Message::ConnectionOpened { role: opened.role };
+        role.outbox
+            .push_descriptor(message, opened.descriptor, opened.acknowledged);
+        role.flush();
+    }
+
+    /// Sends the messages that wait, as far as the channel accepts them.
+    pub(super) fn flush_to_predecessor(&mut self) {
+        if let Some(role) = &mut self.successor {
+            role.flush();
         }
-        // The task that opened it may have ended meanwhile.
-        let _ = opened.acknowledged.send(());
     }
 
     /// Passes the time to the state machine, and records the instance if a predecessor observes it.
@@ -182,12 +210,21 @@
         let mut exchange = instance.exchange.borrow_mut();
         exchange.write_instance_to_journal();
         let unread_bytes = exchange.unread_journal_bytes();
+        let blocked_for = role.outbox.blocked_for();
         if unread_bytes > MAX_UNREAD_JOURNAL_BYTES {
             warn!(
                 unread_bytes = unread_bytes;
                 "predecessor does not read the journal; continuing without it"
             );
             role.state.detach();
+        } else if blocked_for >= SEND_TIMEOUT {
+            // Clients wait on connections that it has to know of first.
+            let blocked_ms = blocked_for.as_millis() as u64;
+            warn!(
+                blocked_ms = blocked_ms;
+                "predecessor does not read its messages; continuing without it"
+            );
+            role.state.detach();
         }
     }
 }
--- a/crates/merlinshelf-backend/src/server/connection.rs
+++ b/crates/merlinshelf-backend/src/server/connection.rs
@@ -237,7 +237,7 @@
         {
             let stream = self.handle.stream();
             let mut exchange = self.exchange.borrow_mut();
-            if exchange.is_journaling() {
+            if exchange.shares_descriptors() {
                 exchange
                     .journal_removal(&[Key::ClientConnection(stream), Key::ResponseQueue(stream)]);
                 exchange.write_journal();
--- a/crates/merlinshelf-backend/src/server/mod.rs
+++ b/crates/merlinshelf-backend/src/server/mod.rs
@@ -258,7 +258,7 @@
     while let Ok(socket) = accept_connection(&listener) {
         server.serve(socket);
     }
-    if exchange.borrow().is_journaling() {
+    if exchange.borrow().shares_descriptors() {
         // The predecessor's copy of the descriptor would keep the socket open.
         let _ = shutdown(listener.get_ref(), Shutdown::Both);
     }
--- a/crates/merlinshelf-backend/src/upgrade/channel/mod.rs
+++ b/crates/merlinshelf-backend/src/upgrade/channel/mod.rs
@@ -1,6 +1,7 @@
 //! The channel between a predecessor and its successor: a socket pair that preserves message
 //! boundaries and carries descriptors.
 
+mod outbox;
 #[cfg(test)]
 mod tests;
 
@@ -19,13 +20,15 @@
 use tokio::io::unix::AsyncFd;
 use tokio::time::timeout;
 
+pub use outbox::Outbox;
+
 /// Maximum number of descriptors per message, well below the kernel's limit of 253.
 pub const MAX_DESCRIPTORS_PER_MESSAGE: usize = 64;
 /// Maximum size of an encoded message. A message that lists the maximum number of descriptors needs
 /// only a fraction of it.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// A process that does not read for this long counts as hung.
-const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+pub const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The environment variable with the descriptor number of a successor's end of the channel.
 pub const HANDOVER_VARIABLE: &str = "MERLINSHELF_HANDOVER";
@@ -97,6 +100,23 @@
         }
     }
 
+    /// Sends a message without waiting.
+    ///
+    /// # Errors
+    /// `WouldBlock` if the other process has not read earlier messages; else it has exited.
+    pub fn try_send(&self, message: &Message, descriptors: &[BorrowedFd<'_>]) -> io::Result<()> {
+        let bytes = rmp_serde::to_vec_named(message).map_err(io::Error::other)?;
+        self.0.try_io(Interest::WRITABLE, |end| {
+            send_datagram(end, &bytes, descriptors)
+        })
+    }
+
+    /// Waits until the channel may accept another message.
+    pub async fn writable(&self) {
+        // An error is the end of the channel, which the next attempt to send reports.
+        let _ = self.0.writable().await;
+    }
+
     /// Waits for the next message.
     ///
     /// # Errors
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -2,8 +2,8 @@
 //! the same connections. Also tests of the command line itself.
 
 use std::fmt::Write as _;
-use std::process::Command;
-use std::time::Instant;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
 
 use insta::assert_snapshot;
 use merlinshelf_testbed::instance::signal;
@@ -336,6 +336,51 @@
     assert!(edge.next_answer().ends_with("fine"));
 }
 
+/// Suspends the predecessor right after the take-over, until the successor serves alone. Returns the
+/// client of the upgrade.
+fn suspend_predecessor_until_detached(
+    instance: &Upgradable,
+    engine: &mut Peer,
+    mut meanwhile: impl FnMut(&mut Peer),
+) -> Child {
+    let command = instance.start_upgrade_until("took_over");
+    signal(instance.rig.child.id(), Signal::STOP);
+    let until = Instant::now() + DETACH_TIMEOUT;
+    while !instance.rig.log().contains("recording stopped") {
+        assert!(Instant::now() < until, "the successor does not detach");
+        meanwhile(engine);
+    }
+    command
+}
+
+/// Longer than a successor waits for a predecessor that is suspended.
+const DETACH_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Guards against a successor that stops answering on new connections while its predecessor is
+/// suspended and takes no descriptors.
+#[test]
+fn new_connections_are_served_while_the_predecessor_is_suspended() {
+    let instance = start_upgradable(500, &[]);
+    let mut engine = instance.rig.accept_engine();
+    let mut tag = 0;
+    let mut slowest = Duration::ZERO;
+    let mut command = suspend_predecessor_until_detached(&instance, &mut engine, |engine| {
+        tag += 1;
+        let sent_at = Instant::now();
+        run_once(engine, &mut instance.rig.connect_edge(), tag);
+        slowest = slowest.max(sent_at.elapsed());
+    });
+    assert!(tag > 50, "{tag} connections");
+    assert!(slowest < CALLER_PATIENCE, "answered after {slowest:?}");
+    // Its end after it is resumed changes nothing.
+    signal(instance.rig.child.id(), Signal::CONT);
+    command.wait().expect("an end");
+    run_once(&mut engine, &mut instance.rig.connect_edge(), tag + 1);
+}
+
+/// The default of `fastcgi_invocation`.
+const CALLER_PATIENCE: Duration = Duration::from_secs(4);
+
 /// Guards against a notice that reaches nobody: a process that was itself started by an upgrade takes
 /// it while it observes its own successor, and must pass it on.
 #[test]
--- a/crates/merlinshelf-handover/src/image.rs
+++ b/crates/merlinshelf-handover/src/image.rs
@@ -38,6 +38,8 @@
     Invocation([u8; 16]),
     /// A block of ids of invocations that were run, by its number.
     RecentRuns(u64),
+    /// The process that journals goes on alone, and records nothing more.
+    Detached,
 }
 
 impl Key {
@@ -51,6 +53,7 @@
             Key::DownstreamConnection(stream) => (5, encode_number(stream)),
             Key::Invocation(id) => (6, id),
             Key::RecentRuns(number) => (7, encode_number(number)),
+            Key::Detached => (8, [0; NAME_BYTES]),
         }
     }
 
@@ -65,6 +68,7 @@
             5 => Some(Key::DownstreamConnection(number)),
             6 => Some(Key::Invocation(name)),
             7 => Some(Key::RecentRuns(number)),
+            8 => Some(Key::Detached),
             _ => None,
         }
     }
@@ -240,6 +244,11 @@
         self.decode(key).ok().flatten()
     }
 
+    /// Whether there is a record of this key.
+    pub fn contains(&self, key: Key) -> bool {
+        self.records.get(&key).is_some_and(Option::is_some)
+    }
+
     /// Whether the record was removed and `take_removed` was not called since.
     pub fn is_removed(&self, key: Key) -> bool {
         self.records.get(&key).is_some_and(Option::is_none)
--- a/crates/merlinshelf-handover/src/records.rs
+++ b/crates/merlinshelf-handover/src/records.rs
@@ -308,3 +308,8 @@
     /// The size of an id: its hexadecimal digits as text.
     pub const ID_BYTES: usize = 16;
 }
+
+/// The process that journals goes on alone, since its predecessor reads nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Detached {}
--- a/crates/merlinshelf-handover/tests/golden.rs
+++ b/crates/merlinshelf-handover/tests/golden.rs
@@ -12,8 +12,9 @@
 };
 use merlinshelf_dependencies::{AttemptSnapshot, CallSnapshot};
 use merlinshelf_handover::records::{
-    Answer, ClientConnectionRecord, Command, DownstreamConnectionRecord, EngineConnectionRecord,
-    Instance, Invocation, PartialInvocation, PartialRecord, RecentRuns, ResponseQueueRecord,
+    Answer, ClientConnectionRecord, Command, Detached, DownstreamConnectionRecord,
+    EngineConnectionRecord, Instance, Invocation, PartialInvocation, PartialRecord, RecentRuns,
+    ResponseQueueRecord,
 };
 use merlinshelf_handover::{Flow, Image, Key, Message, Role, SUPPORTED_FORMATS, Transaction};
 use serde::Serialize;
@@ -310,6 +311,11 @@
     assert_records("recent_runs", vec![(key, record)]);
 }
 
+#[test]
+fn record_of_a_detachment() {
+    assert_records("detached", vec![(Key::Detached, Detached::default())]);
+}
+
 #[test]
 fn record_of_an_invocation_with_a_deadline() {
     let key = Key::Invocation(*b"9b1f03aa5c7e2d41");
