Upgrades: a resumed predecessor reads what has arrived before it acts on timeouts

Cause: the expired timeout of the heartbeats was handled before the messages that had arrived, and the message of a successor that goes on alone may not have fitted into a full channel.

Test: a_predecessor_that_is_resumed_takes_nothing_back_from_a_detached_successor failed with the program before (the upgrade ended as failed), passes now.

--- a/crates/merlinshelf-backend/src/process/events.rs
+++ b/crates/merlinshelf-backend/src/process/events.rs
@@ -136,6 +136,7 @@
     }
 
     fn handle_timeout(&mut self) {
+        self.handle_waiting_successor_messages();
         let now = self.now();
         self.predecessor.state.handle_timeout(now);
         self.handle_successor_timeout(now);
--- a/crates/merlinshelf-backend/src/process/predecessor_role.rs
+++ b/crates/merlinshelf-backend/src/process/predecessor_role.rs
@@ -169,8 +169,7 @@
         Ok(())
     }
 
-    /// Handles a message of the successor. Its journal is read first, since the message may refer to
-    /// records in it.
+    /// Handles a message of the successor, and reads what it has recorded by then.
     pub(super) fn handle_successor_message(&mut self, received: ReceivedMessage) {
         let now = self.now();
         let role = &mut self.predecessor;
@@ -179,14 +178,37 @@
         {
             guard.retain_opened(*opened, received.descriptors);
         }
-        let journal = match &mut role.guard {
-            Some(guard) => guard.read_journal(),
-            None => Ok(()),
-        };
         role.state.handle_message(now, received.message);
-        if let Err(error) = journal {
-            role.state
-                .channel_failed(&format!("its notes can't be read: {error}"));
+        self.read_successor_journal();
+    }
+
+    /// Handles the messages of the successor that have arrived. After a suspension of this process
+    /// they are older than the timeouts that have expired meanwhile, and must be known first.
+    pub(super) fn handle_waiting_successor_messages(&mut self) {
+        while let Some(received) = self
+            .predecessor
+            .open_channel()
+            .and_then(Channel::try_receive)
+        {
+            self.handle_successor_message(received);
+        }
+        self.read_successor_journal();
+    }
+
+    /// Reads what the successor has recorded: also that it has detached, if the channel could not
+    /// accept that message.
+    fn read_successor_journal(&mut self) {
+        let now = self.now();
+        let role = &mut self.predecessor;
+        let Some(guard) = &mut role.guard else {
+            return;
+        };
+        match guard.read_journal() {
+            Ok(()) if guard.has_detached() => role.state.handle_message(now, Message::Detached),
+            Ok(()) => {}
+            Err(error) => role
+                .state
+                .channel_failed(&format!("its notes can't be read: {error}")),
         }
     }
 
@@ -198,6 +220,8 @@
             Some(guard) => timeout(EXIT_TIMEOUT, guard.wait_for_exit()).await.is_ok(),
             None => false,
         };
+        // A successor that goes on alone closes the channel.
+        self.read_successor_journal();
         if !has_exited {
             self.predecessor
                 .state
@@ -210,11 +234,16 @@
         let now = self.now();
         let role = &mut self.predecessor;
         let was_serving = role.state.is_serving();
+        let mut status = None;
         if let Some(guard) = &mut role.guard {
-            let status = guard.reap();
+            status = guard.reap();
             for message in guard.last_messages() {
                 role.state.handle_message(now, message);
             }
+        }
+        self.read_successor_journal();
+        let role = &mut self.predecessor;
+        if role.guard.is_some() {
             role.state.successor_exited(status);
         }
         if was_serving {
--- a/crates/merlinshelf-backend/src/upgrade/successor_guard.rs
+++ b/crates/merlinshelf-backend/src/upgrade/successor_guard.rs
@@ -172,6 +172,12 @@
         }
     }
 
+    /// Whether the successor has recorded that it goes on alone, and records nothing more.
+    pub fn has_detached(&self) -> bool {
+        let retained = self.retained.as_ref();
+        retained.is_some_and(|retained| retained.image.contains(Key::Detached))
+    }
+
     /// The remaining messages of a successor whose process has ended, as far as they matter now: that
     /// it drains, or that it has stopped recording. Descriptors of opened connections are retained.
     pub fn last_messages(&mut self) -> Vec<Message> {
--- a/crates/merlinshelf-cli/tests/handover.rs
+++ b/crates/merlinshelf-cli/tests/handover.rs
@@ -381,6 +381,27 @@
 /// The default of `fastcgi_invocation`.
 const CALLER_PATIENCE: Duration = Duration::from_secs(4);
 
+/// Guards against a predecessor that is resumed after a suspension and kills the successor, which has
+/// gone on alone.
+#[test]
+fn a_predecessor_that_is_resumed_takes_nothing_back_from_a_detached_successor() {
+    let instance = start_upgradable(500, &[]);
+    let mut engine = instance.rig.accept_engine();
+    let mut command = suspend_predecessor_until_detached(&instance, &mut engine, |engine| {
+        engine.answer_stats_for(millis(50));
+    });
+    let successor = instance.serving_process();
+    let mut edge = instance.rig.connect_edge();
+    edge.send(fastcgi_invocation(1, "transcript-search", b"", &[]));
+    assert!(engine.next_message().starts_with("RUN "));
+    signal(instance.rig.child.id(), Signal::CONT);
+    assert!(command.wait().expect("an end").success());
+    engine.answer_stats_for(millis(300));
+    engine.send(format!("DONE 1 {} OK 9 4\r\nfine\r\n", invocation_id(1)));
+    assert!(edge.next_answer().ends_with("fine"));
+    assert_eq!(instance.serving_process(), successor);
+}
+
 /// Guards against a notice that reaches nobody: a process that was itself started by an upgrade takes
 /// it while it observes its own successor, and must pass it on.
 #[test]
