Drain: the grace counts from the notice for every admission controller

Requests that came later than the grace after the notice to leave were run, if the engine came up or was restarted between.

Cause: a controller that was started during a drain was told of the remaining time as if the notice had come at that moment. Now the exchange keeps when it came.

Test: the_grace_counts_from_the_notice_whenever_the_engine_starts failed with the program before, passes now.

--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -6,7 +6,6 @@
 
 use log::{error, info, warn};
 use merlinshelf_admission::{AdmissionController, Decisions};
-use tokio::time::Instant;
 
 use super::timers::Timer;
 use super::{Answer, CallDemand, Exchange, idle_time};
@@ -26,9 +25,8 @@
             Ok(Err(reason)) => error!("admission controller not started: {reason}"),
             Err(_) => error!("admission controller panicked at its start"),
         }
-        if let Some(stop) = self.shutdown_at {
-            let left = stop.saturating_duration_since(Instant::now()).as_secs_f64();
-            if !self.attempt(|controller, now| controller.shutdown_requested(now, left)) {
+        if let Some(shutdown) = self.shutdown {
+            if !self.attempt(|controller, now| shutdown.notify(controller, now)) {
                 // Everything is throttled until the process exits.
                 self.controller = None;
             }
--- a/crates/merlinshelf-backend/src/exchange/mod.rs
+++ b/crates/merlinshelf-backend/src/exchange/mod.rs
@@ -30,7 +30,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use merlinshelf_admission::{AdmissionController, LearnedState, PriorEstimates, Settings};
+use merlinshelf_admission::{
+    AdmissionController, Decisions, LearnedState, PriorEstimates, Settings,
+};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
@@ -66,6 +68,24 @@
 /// arrive completely.
 const READ_MEMORY_DIVISOR: usize = 16;
 
+/// A graceful shutdown in progress.
+#[derive(Clone, Copy, Debug)]
+struct Shutdown {
+    requested_at: Instant,
+    /// By when the process must have exited.
+    deadline: Instant,
+}
+
+impl Shutdown {
+    /// Notifies a controller, whose clock shows `now`. The grace counts from the request, also for a
+    /// controller that is started later.
+    fn notify(self, controller: &mut AdmissionController, now: f64) -> Decisions {
+        let total = self.deadline.saturating_duration_since(self.requested_at);
+        let elapsed = self.requested_at.elapsed();
+        controller.shutdown_requested(now - elapsed.as_secs_f64(), total.as_secs_f64())
+    }
+}
+
 /// All invocations of one instance, and the queues between its server side and its client side.
 pub struct Exchange {
     settings: Settings,
@@ -83,7 +103,7 @@
     /// the day.
     epoch: f64,
     controller: Option<AdmissionController>,
-    shutdown_at: Option<Instant>,
+    shutdown: Option<Shutdown>,
     invocations: InFlightTable,
     recent_runs: RecentRuns,
     connections: ConnectionTable,
@@ -203,7 +223,7 @@
             origin: Instant::now(),
             epoch: unix_ms() / 1e3,
             controller: None,
-            shutdown_at: None,
+            shutdown: None,
             invocations: InFlightTable::default(),
             recent_runs: RecentRuns::new(memory_mb),
             connections: ConnectionTable::default(),
@@ -258,19 +278,18 @@
     /// Begins the graceful shutdown, which was requested `elapsed` ago. The process must have exited
     /// by `deadline`. The grace counts from the request.
     pub fn begin_shutdown(&mut self, deadline: Instant, elapsed: Duration) {
-        self.shutdown_at = Some(deadline);
+        let now = Instant::now();
+        let shutdown = Shutdown {
+            requested_at: now.checked_sub(elapsed).unwrap_or(now),
+            deadline,
+        };
+        self.shutdown = Some(shutdown);
         self.shutdown_notice.notify_one();
-        let remaining = deadline
-            .saturating_duration_since(Instant::now())
-            .as_secs_f64();
-        let elapsed = elapsed.as_secs_f64();
-        self.decide(|controller, now| {
-            controller.shutdown_requested(now - elapsed, remaining + elapsed)
-        });
+        self.decide(|controller, now| shutdown.notify(controller, now));
     }
 
     pub fn is_shutting_down(&self) -> bool {
-        self.shutdown_at.is_some()
+        self.shutdown.is_some()
     }
 
     /// Notified once, when the graceful shutdown begins.
--- a/crates/merlinshelf-backend/src/exchange/restoration.rs
+++ b/crates/merlinshelf-backend/src/exchange/restoration.rs
@@ -10,11 +10,11 @@
 use merlinshelf_handover::{Image, Key};
 use merlinshelf_protocol::CallId;
 
-use super::Exchange;
 use super::in_flight::{InFlightInvocation, ReplyAddress};
 use super::restored_calls::SentAttempts;
 use super::runs::{Command, START_TOLERANCE};
 use super::snapshot::monotonic_seconds;
+use super::{Exchange, Shutdown};
 
 /// A call whose deadline passed during the handover ends by its timer, after this.
 const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(1);
@@ -87,7 +87,12 @@
             self.settings.insert("FamilyInfo.FreshStart".into(), fresh);
         }
         if let Some(stop) = instance.drain_deadline_at {
-            self.shutdown_at = Some(tokio::time::Instant::now() + seconds_until(stop, now));
+            // The process that restores is notified of the shutdown and its start anew.
+            let restored_at = tokio::time::Instant::now();
+            self.shutdown = Some(Shutdown {
+                requested_at: restored_at,
+                deadline: restored_at + seconds_until(stop, now),
+            });
         }
         self.gossip_state = instance.gossip.into_vec();
         self.restore_recent_runs(image);
--- a/crates/merlinshelf-backend/src/exchange/snapshot.rs
+++ b/crates/merlinshelf-backend/src/exchange/snapshot.rs
@@ -129,9 +129,10 @@
             next_stream: self.next_stream,
             is_healthy: self.is_healthy,
             idle_timeout_seconds: self.idle_timeout.as_secs_f64(),
-            drain_deadline_at: self.shutdown_at.map(|stop| {
+            drain_deadline_at: self.shutdown.map(|shutdown| {
                 monotonic_seconds()
-                    + stop
+                    + shutdown
+                        .deadline
                         .saturating_duration_since(tokio::time::Instant::now())
                         .as_secs_f64()
             }),
--- a/crates/merlinshelf-backend/src/exchange/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/tests.rs
@@ -302,6 +302,32 @@
     assert_snapshot!(harness.trace);
 }
 
+/// Guards against a grace that begins anew when the engine comes up, or is restarted, after the notice
+/// to leave.
+#[tokio::test(start_paused = true)]
+async fn the_grace_counts_from_the_notice_whenever_the_engine_starts() {
+    for engine_was_up in [false, true] {
+        let mut harness = Harness::start();
+        if !engine_was_up {
+            harness.shared.borrow_mut().controller = None;
+        }
+        let stop = Instant::now() + Duration::from_millis(5000);
+        harness.step("notice", |exchange| {
+            exchange.begin_shutdown(stop, Duration::ZERO)
+        });
+        harness.wait(1900).await;
+        harness.step("HELLO", |exchange| {
+            exchange.engine_up(false, 0.01, engine_was_up)
+        });
+        harness.arrives(1, 1);
+        harness.wait(200).await;
+        harness.arrives(2, 1);
+        harness.wait(2000).await;
+        assert!(harness.trace.contains(&format!("run {}", id(1))));
+        assert!(!harness.trace.contains(&format!("run {}", id(2))));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn invocations_before_the_engine_is_up_or_past_their_timeout_are_throttled_at_once() {
     let config = Config::parse(EXAMPLE).expect("the example is valid");
