Fleet: a suspension of the agent is not taken for silence of its instances

An agent that had been suspended for longer than hangs_ms told all its instances to leave, though all of them had answered all the time.

Cause: the silence of an instance was counted with the time in which the agent asked nobody. Now a gap of over 1 s between two rounds, which come every 50 ms, is taken out of it, and of the times in a state and of being healthy.

Test: instances_do_not_count_as_hanging_after_a_suspension_of_the_agent failed with the program before (Terminate for all), passes now.

--- a/crates/merlinshelf-fleet/src/fleet/mod.rs
+++ b/crates/merlinshelf-fleet/src/fleet/mod.rs
@@ -40,6 +40,8 @@
     /// The time for a graceful shutdown of a process that has not reported its own: the longest of
     /// all configurations so far.
     default_shutdown_timeout_seconds: f64,
+    /// When [`advance`](Fleet::advance) was called last.
+    advanced_at: Option<f64>,
     actions: VecDeque<Action>,
     /// The record has changed since the last `take_record`.
     is_record_changed: bool,
@@ -66,6 +68,7 @@
             group_programs: record.group_programs,
             history: record.history,
             default_shutdown_timeout_seconds: shutdown_timeout_seconds,
+            advanced_at: None,
             actions: VecDeque::new(),
             is_record_changed: true,
             unix_seconds,
--- a/crates/merlinshelf-fleet/src/fleet/reconcile.rs
+++ b/crates/merlinshelf-fleet/src/fleet/reconcile.rs
@@ -8,9 +8,14 @@
 /// Interval between repeated kills of a process that has not exited, in seconds.
 const KILL_RETRY_SECONDS: f64 = 1.0;
 
+/// Calls of [`Fleet::advance`] that are further apart mean that this process was suspended. The host
+/// calls it every 50 ms; a busy machine delays that by far less than this.
+const MAX_ADVANCE_GAP_SECONDS: f64 = 1.0;
+
 impl Fleet {
     /// Performs everything that is due.
     pub fn advance(&mut self, now: f64) {
+        self.discount_suspension(now);
         self.fail_cold_targets(now);
         self.check_instances(now);
         self.advance_plan(now);
@@ -18,6 +23,22 @@
         self.remove_instances();
     }
 
+    /// Time in which this process itself was suspended is no silence of the instances, and nothing
+    /// that they were observed to do.
+    fn discount_suspension(&mut self, now: f64) {
+        let gap_seconds = now - self.advanced_at.replace(now).unwrap_or(now);
+        if gap_seconds <= MAX_ADVANCE_GAP_SECONDS {
+            return;
+        }
+        for instance in self.instances.values_mut() {
+            instance.discount_suspension(now, gap_seconds);
+        }
+        self.add_event(
+            None,
+            format!("the agent itself stood still for {gap_seconds:.1} s"),
+        );
+    }
+
     /// Fails targets of the plan that do not get warm in time. Other instances are ignored, since
     /// their engines may be the cause.
     fn fail_cold_targets(&mut self, now: f64) {
--- a/crates/merlinshelf-fleet/src/instance.rs
+++ b/crates/merlinshelf-fleet/src/instance.rs
@@ -264,6 +264,14 @@
         self.report = Some(report);
     }
 
+    /// The agent was suspended for this time, and observed nothing.
+    pub fn discount_suspension(&mut self, now: f64, gap_seconds: f64) {
+        let shifted = |at: f64| (at + gap_seconds).min(now);
+        self.answered_at = shifted(self.answered_at);
+        self.state_entered_at = shifted(self.state_entered_at);
+        self.healthy_since = self.healthy_since.map(shifted);
+    }
+
     /// Whether it has been healthy for `warm_seconds`.
     pub fn is_warm(&self, now: f64, warm_seconds: f64) -> bool {
         self.healthy_since
--- a/crates/merlinshelf-fleet/tests/fleet/processes.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/processes.rs
@@ -60,6 +60,37 @@
     );
 }
 
+/// Guards against an agent that was suspended and takes its own silence for that of its instances.
+#[test]
+fn instances_do_not_count_as_hanging_after_a_suspension_of_the_agent() {
+    let mut simulation = serving_fleet(4);
+    simulation.is_agent_down = true;
+    simulation.run_for(20.0);
+    simulation.is_agent_down = false;
+    simulation.run_for(5.0);
+    assert!(
+        simulation
+            .trace
+            .iter()
+            .all(|line| !line.contains("Terminate")),
+        "{}",
+        simulation.events()
+    );
+    assert_eq!(simulation.serving_count(), 4);
+    // One that hangs since is still found.
+    simulation
+        .processes
+        .get_mut("web.2")
+        .expect("it runs")
+        .is_hanging = true;
+    simulation.run_until(20.0, |simulation| {
+        simulation
+            .trace
+            .iter()
+            .any(|line| line.contains("Terminate"))
+    });
+}
+
 /// Guards against processes that are killed by the time for a graceful shutdown of an earlier
 /// configuration, whatever ends them.
 #[test]
--- a/crates/merlinshelf-fleet/tests/fleet/simulation.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/simulation.rs
@@ -77,7 +77,8 @@
     /// All actions, as text.
     pub trace: Vec<String>,
     pub max_shutdown_requests: u32,
-    is_agent_down: bool,
+    /// Whether the agent is stopped or suspended.
+    pub is_agent_down: bool,
 }
 
 pub fn group(count: u32, port: u16) -> Group {
