--- a/crates/merlinshelf-backend/src/client/engine.rs
+++ b/crates/merlinshelf-backend/src/client/engine.rs
@@ -43,7 +43,7 @@
     exchange: Shared,
     /// The number of the last notification that was read.
     last_notification: u64,
-    /// Commands that are lost if the connection ends.
+    /// Commands that may be lost if the connection ends.
     unacknowledged: UnacknowledgedCommands,
     last_request_tag: u64,
     /// Whether the next connection offers that calls name their dependency. An engine that does not
--- a/crates/merlinshelf-backend/src/exchange/decisions.rs
+++ b/crates/merlinshelf-backend/src/exchange/decisions.rs
@@ -25,11 +25,11 @@
             Ok(Err(reason)) => error!("admission controller not started: {reason}"),
             Err(_) => error!("admission controller panicked at its start"),
         }
-        if let Some(shutdown) = self.shutdown {
-            if !self.attempt(|controller, now| shutdown.notify(controller, now)) {
-                // Everything is throttled until the process exits.
-                self.controller = None;
-            }
+        if let Some(shutdown) = self.shutdown
+            && !self.attempt(|controller, now| shutdown.notify(controller, now))
+        {
+            // Everything is throttled until the process exits.
+            self.controller = None;
         }
     }
 
--- a/crates/merlinshelf-cli/tests/peer_faults.rs
+++ b/crates/merlinshelf-cli/tests/peer_faults.rs
@@ -169,6 +169,39 @@
     expect_run(&mut engine, 2);
 }
 
+/// Guards against complete requests that are lost with the bytes after them that can't be parsed, or
+/// with two requests under one number.
+#[test]
+fn requests_before_unparsable_bytes_on_a_connection_are_all_answered() {
+    let begin_twice = fastcgi_record(1, 9, &[0, 1, 1, 0, 0, 0, 0, 0], 0).repeat(2);
+    for (index, rest) in [vec![0xFF; 64], begin_twice].into_iter().enumerate() {
+        let rig = ProgramUnderTest::start(PROGRAM, 1024, &[]);
+        let (mut engine, mut edge) = (rig.accept_engine(), rig.connect_edge());
+        let mut bytes = Vec::new();
+        for tag in 1..=2 {
+            bytes.extend(fastcgi_invocation(tag, "transcript-search", b"", &[]));
+        }
+        bytes.extend(rest);
+        edge.send(bytes);
+        expect_run(&mut engine, 2);
+        engine.answer_stats_for(millis(400));
+        engine.send(format!(
+            "DONE 1 {} OK 9 4\r\nfine\r\nDONE 2 {} OK 9 4\r\nfine\r\n",
+            invocation_id(1),
+            invocation_id(2)
+        ));
+        let mut fine = 0;
+        loop {
+            let answer = edge.next_answer();
+            if answer == "closed" {
+                break;
+            }
+            fine += u32::from(answer.ends_with("fine"));
+        }
+        assert_eq!(fine, 2, "case {index}");
+    }
+}
+
 /// Guards against a second RUN of an id that was answered before its client left: the engine passes
 /// over it, so the caller would wait for its whole timeout while a core is held.
 #[test]
--- a/crates/merlinshelf-fleet/tests/fleet/processes.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/processes.rs
@@ -91,6 +91,9 @@
     });
 }
 
+/// Ends processes of a fleet; the command is a drain.
+type End = fn(&mut Simulation, &Command);
+
 /// Guards against processes that are killed by the time for a graceful shutdown of an earlier
 /// configuration, whatever ends them.
 #[test]
@@ -99,10 +102,10 @@
         slowest_first: false,
         max_in_progress: None,
     };
-    let ends: [(&str, fn(&mut Simulation, &Command)); 4] = [
+    let ends: [(&str, End); 4] = [
         ("drain", |simulation, drain| simulation.begin_plan(drain)),
         ("restart", |simulation, _| {
-            simulation.begin_plan(&Command::Restart)
+            simulation.begin_plan(&Command::Restart);
         }),
         ("scaling down", |simulation, _| {
             simulation
