Fleet: the time for a graceful shutdown is read from the instance's configuration

Test: process_is_killed_by_its_own_time_for_a_graceful_shutdown, as strict as before with the new source of the figure; it fails if the figure of the agent's start is used.

--- a/crates/merlinshelf-agent/src/agent/health_checks.rs
+++ b/crates/merlinshelf-agent/src/agent/health_checks.rs
@@ -108,6 +108,5 @@
         run_ms: status["run_ms"].as_f64(),
         memory_kb: status["memory_kb"].as_u64().unwrap_or(0),
         program: process::executable(pid),
-        shutdown_timeout_seconds: status["stop_ms"].as_u64().map(|ms| ms as f64 / 1e3),
     })
 }
--- a/crates/merlinshelf-agent/src/agent/instance_processes.rs
+++ b/crates/merlinshelf-agent/src/agent/instance_processes.rs
@@ -71,6 +71,7 @@
             .extend_default_shutdown_timeout(shutdown_timeout_seconds);
         let supervised = started.and_then(|identity| {
             self.fleet.process_started(now, &name, identity.clone());
+            self.read_shutdown_timeout(&name);
             if self.supervise(&name, &identity) {
                 Ok(())
             } else {
@@ -84,6 +85,13 @@
         }
     }
 
+    /// Reads the time for a graceful shutdown that the instance's process has.
+    pub(super) fn read_shutdown_timeout(&mut self, name: &str) {
+        if let Some(seconds) = instance_files::shutdown_timeout_seconds(&self.paths(name)) {
+            self.fleet.shutdown_timeout_read(name, seconds);
+        }
+    }
+
     /// Starts supervising a process; returns false if it has exited.
     pub(super) fn supervise(&mut self, name: &str, identity: &Identity) -> bool {
         let supervised = self.processes.get(name);
--- a/crates/merlinshelf-agent/src/agent/recovery.rs
+++ b/crates/merlinshelf-agent/src/agent/recovery.rs
@@ -56,14 +56,23 @@
     pub(super) async fn adopt(&mut self, name: &str, known: Identity) {
         let now = self.now();
         if self.supervise(name, &known) {
-            return self.fleet.process_found(now, name, known);
+            return self.process_adopted(now, name, known);
         }
         let control = self.paths(name).control;
         let Some(report) = request_report(&control).await else {
             return;
         };
         if report.predecessor == Some(known.pid) && self.supervise(name, &report.identity) {
-            self.fleet.process_found(now, name, report.identity);
+            self.process_adopted(now, name, report.identity);
+        }
+    }
+
+    fn process_adopted(&mut self, now: f64, name: &str, identity: Identity) {
+        self.fleet.process_found(now, name, identity);
+        let instance = self.fleet.get(name);
+        // A record of an earlier version has no time for a graceful shutdown.
+        if instance.is_some_and(|instance| instance.shutdown_timeout_seconds.is_none()) {
+            self.read_shutdown_timeout(name);
         }
     }
 
--- a/crates/merlinshelf-backend/src/process/status.rs
+++ b/crates/merlinshelf-backend/src/process/status.rs
@@ -22,7 +22,6 @@
             "process": std::process::id(),
             "state": self.state_name(),
             "predecessor": successor.map(|role| role.predecessor_id),
-            "stop_ms": self.config.drain_timeout.as_millis() as u64,
             "up_ms": self.started_at.elapsed().as_millis() as u64,
             "healthy": exchange.map(Exchange::is_healthy),
             "in_hand": exchange.map(Exchange::in_flight),
--- a/crates/merlinshelf-fleet/src/fleet/mod.rs
+++ b/crates/merlinshelf-fleet/src/fleet/mod.rs
@@ -37,8 +37,8 @@
     group_counts: BTreeMap<String, u32>,
     group_programs: BTreeMap<String, String>,
     history: History,
-    /// The time for a graceful shutdown of a process that has not reported its own: the longest of
-    /// all configurations so far.
+    /// The time for a graceful shutdown of a process whose own is unknown: the longest of all
+    /// configurations so far.
     default_shutdown_timeout_seconds: f64,
     /// When [`advance`](Fleet::advance) was called last.
     advanced_at: Option<f64>,
--- a/crates/merlinshelf-fleet/src/fleet/observation.rs
+++ b/crates/merlinshelf-fleet/src/fleet/observation.rs
@@ -35,6 +35,16 @@
         self.add_event(Some(name), text);
     }
 
+    /// The configuration of an instance's process gives it this time for a graceful shutdown. Must
+    /// follow [`process_started`](Fleet::process_started) or
+    /// [`process_found`](Fleet::process_found).
+    pub fn shutdown_timeout_read(&mut self, name: &str, seconds: f64) {
+        if let Some(instance) = self.instances.get_mut(name) {
+            instance.shutdown_timeout_seconds = Some(seconds);
+            self.is_record_changed = true;
+        }
+    }
+
     /// A process could not be started. `jitter` is from 0 to below 1.
     pub fn start_failed(&mut self, now: f64, name: &str, reason: &str, jitter: f64) {
         let Some(instance) = self.instances.get_mut(name) else {
@@ -82,9 +92,7 @@
     /// An instance has answered a health check.
     pub fn report_received(&mut self, now: f64, name: &str, report: Report) {
         let warm_seconds = self.spec.change.warm_ms as f64 / 1e3;
-        let shutdown_timeout_seconds = report
-            .shutdown_timeout_seconds
-            .unwrap_or(self.default_shutdown_timeout_seconds);
+        let kill_at = self.shutdown_deadline(now, name);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
@@ -96,16 +104,13 @@
             return self.foreign_process_answered(now, name, pid);
         }
         let former_state = instance.state;
-        let former_timeout_seconds = instance.shutdown_timeout_seconds;
         instance.record_report(now, report);
         let state = reported_state(instance, instance.is_warm(now, warm_seconds));
         if state == State::Draining && !instance.is_shutdown_requested {
             instance.is_shutdown_requested = true;
-            instance.kill_at = Some(now + shutdown_timeout_seconds + SHUTDOWN_MARGIN_SECONDS);
+            instance.kill_at = Some(kill_at);
         }
         instance.enter_state(now, state);
-        // The record has the time for a graceful shutdown, which a later agent needs.
-        self.is_record_changed |= instance.shutdown_timeout_seconds != former_timeout_seconds;
         if !is_known {
             self.add_event(Some(name), format!("process {pid} has taken over"));
         }
@@ -169,11 +174,11 @@
 
     /// Time at which the process of an instance is killed if its graceful shutdown begins now.
     pub(super) fn shutdown_deadline(&self, now: f64, name: &str) -> f64 {
-        let reported = self
+        let own = self
             .instances
             .get(name)
             .and_then(|instance| instance.shutdown_timeout_seconds);
-        let timeout_seconds = reported.unwrap_or(self.default_shutdown_timeout_seconds);
+        let timeout_seconds = own.unwrap_or(self.default_shutdown_timeout_seconds);
         now + timeout_seconds + SHUTDOWN_MARGIN_SECONDS
     }
 }
--- a/crates/merlinshelf-fleet/src/instance.rs
+++ b/crates/merlinshelf-fleet/src/instance.rs
@@ -42,9 +42,6 @@
     pub memory_kb: u64,
     /// The program file that its process executes, if known.
     pub program: Option<String>,
-    /// The time that the process has for a graceful shutdown, in seconds; `None` from programs that
-    /// do not report it.
-    pub shutdown_timeout_seconds: Option<f64>,
 }
 
 /// The state of an instance.
@@ -150,7 +147,8 @@
     pub is_disabled: bool,
     /// A graceful shutdown was requested. A second request might shorten the time for it.
     pub is_shutdown_requested: bool,
-    /// The time that its process has for a graceful shutdown, in seconds, once reported.
+    /// The time that its process has for a graceful shutdown, in seconds, by the configuration that
+    /// it was started with; `None` if that is unknown.
     pub shutdown_timeout_seconds: Option<f64>,
     /// Time at which its process is killed.
     pub kill_at: Option<f64>,
@@ -258,9 +256,6 @@
             counts,
         });
         self.identity = Some(report.identity.clone());
-        self.shutdown_timeout_seconds = report
-            .shutdown_timeout_seconds
-            .or(self.shutdown_timeout_seconds);
         self.report = Some(report);
     }
 
--- a/crates/merlinshelf-fleet/src/record.rs
+++ b/crates/merlinshelf-fleet/src/record.rs
@@ -23,7 +23,7 @@
     /// A graceful shutdown was requested: it must not be requested again.
     #[serde(rename = "told")]
     pub is_shutdown_requested: bool,
-    /// The time that its process has for a graceful shutdown, in seconds, if it was reported.
+    /// The time that its process has for a graceful shutdown, in seconds, if it is known.
     #[serde(rename = "stop_s", skip_serializing_if = "Option::is_none")]
     pub shutdown_timeout_seconds: Option<f64>,
     /// Consecutive crashes without a steady run between them.
--- a/crates/merlinshelf-fleet/tests/fleet/processes.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/processes.rs
@@ -122,7 +122,9 @@
     for (name, end) in ends {
         let mut simulation = serving_fleet(8);
         // A new configuration has given the processes more time than the agent knows from its start.
-        simulation.stop_seconds = Some(9.0);
+        for name in simulation.processes.keys() {
+            simulation.fleet.shutdown_timeout_read(name, 9.0);
+        }
         simulation.drain_seconds = 8.0;
         simulation.run_for(1.0);
         end(&mut simulation, &drain);
--- a/crates/merlinshelf-fleet/tests/fleet/simulation.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/simulation.rs
@@ -71,8 +71,6 @@
     /// Uptime after which a process crashes, in seconds, by program.
     pub crash_after: BTreeMap<String, f64>,
     pub drain_seconds: f64,
-    /// The time for a graceful shutdown that processes report.
-    pub stop_seconds: Option<f64>,
     pub upgrades_fail: bool,
     /// All actions, as text.
     pub trace: Vec<String>,
@@ -151,7 +149,6 @@
             success_ratios: BTreeMap::from([("/v1".to_owned(), 0.99), ("/v2".to_owned(), 0.99)]),
             crash_after: BTreeMap::new(),
             drain_seconds: 1.0,
-            stop_seconds: None,
             upgrades_fail: false,
             trace: Vec::new(),
             max_shutdown_requests: 0,
@@ -315,7 +312,6 @@
             run_ms: Some(f64::from(process.pid)),
             memory_kb: 5000,
             program: Some(process.program.clone()),
-            shutdown_timeout_seconds: self.stop_seconds,
         };
         self.fleet.report_received(self.now, name, report);
     }
