Exchange: ids of another process are indexed after the take-over

Cause: the successor parsed and hashed all of them before it served. Now blocks are kept as they came, searched in order, and indexed one for each id that is looked up or added; ids are compared as numbers.

--- a/crates/merlinshelf-backend/src/exchange/recent_runs.rs
+++ b/crates/merlinshelf-backend/src/exchange/recent_runs.rs
@@ -16,12 +16,19 @@
 /// The number of ids remembered for each megabyte of the memory limit: a hundredth of that.
 const IDS_PER_MEGABYTE: usize = 256;
 
+/// The bytes of an id as one number, so that many are compared quickly.
+type IdBits = u128;
+
 /// The most recent of these ids; the oldest are forgotten first.
 #[derive(Debug, Default)]
 pub struct RecentRuns {
-    ids: HashSet<CallId>,
-    /// The same ids in the order in which their runs ended.
+    /// The ids of the blocks that are indexed.
+    ids: HashSet<IdBits>,
+    /// All ids in the order in which their runs ended.
     blocks: VecDeque<Block>,
+    /// The number of blocks at the front that are not indexed yet: those of another process, since
+    /// nobody is served while they are restored.
+    unindexed_blocks: usize,
     max_blocks: usize,
     unsaved: Option<UnsavedBlocks>,
 }
@@ -31,7 +38,7 @@
 struct Block {
     /// Its position among all blocks, also of earlier processes.
     number: u64,
-    ids: Vec<CallId>,
+    ids: Vec<IdBits>,
 }
 
 /// The numbers of the blocks that have changed or were forgotten since the last write of the
@@ -54,6 +61,8 @@
 
     /// The run of this invocation has ended.
     pub fn insert(&mut self, id: CallId) {
+        self.index_next_block();
+        let id = id_bits(id);
         if !self.ids.insert(id) {
             return;
         }
@@ -71,8 +80,11 @@
 
     /// The number of the latest block, which has capacity for another id.
     fn block_with_capacity(&mut self) -> u64 {
+        let is_last_indexed = self.unindexed_blocks < self.blocks.len();
         let next_number = match self.blocks.back() {
-            Some(block) if block.ids.len() < IDS_PER_BLOCK => return block.number,
+            Some(block) if is_last_indexed && block.ids.len() < IDS_PER_BLOCK => {
+                return block.number;
+            }
             Some(block) => block.number + 1,
             None => 0,
         };
@@ -87,6 +99,7 @@
         let Some(block) = self.blocks.pop_front() else {
             return;
         };
+        self.unindexed_blocks = self.unindexed_blocks.saturating_sub(1);
         for id in &block.ids {
             self.ids.remove(id);
         }
@@ -96,8 +109,22 @@
         }
     }
 
-    pub fn contains(&self, id: CallId) -> bool {
-        self.ids.contains(&id)
+    pub fn contains(&mut self, id: CallId) -> bool {
+        self.index_next_block();
+        let id = id_bits(id);
+        let mut unindexed = self.blocks.iter().take(self.unindexed_blocks);
+        self.ids.contains(&id) || unindexed.any(|block| block.ids.contains(&id))
+    }
+
+    /// Indexes the latest block that is not indexed yet.
+    fn index_next_block(&mut self) {
+        let Some(index) = self.unindexed_blocks.checked_sub(1) else {
+            return;
+        };
+        self.unindexed_blocks = index;
+        if let Some(block) = self.blocks.get(index) {
+            self.ids.extend(&block.ids);
+        }
     }
 
     /// The numbers and records of all blocks, the oldest first.
@@ -116,12 +143,12 @@
         Some(self.blocks[index].record())
     }
 
-    /// Adds a block of another process, after all that were added before. Invalid ids are skipped.
+    /// Adds a block of another process, after all that were added before.
     pub fn restore(&mut self, number: u64, record: &records::RecentRuns) {
-        let ids = record.ids.chunks(records::RecentRuns::ID_BYTES);
-        let ids: Vec<CallId> = ids.filter_map(CallId::parse).collect();
-        self.ids.extend(&ids);
+        let (ids, _) = record.ids.as_chunks();
+        let ids = ids.iter().map(|id| IdBits::from_ne_bytes(*id)).collect();
         self.blocks.push_back(Block { number, ids });
+        self.unindexed_blocks = self.blocks.len();
         while self.blocks.len() > self.max_blocks {
             self.forget_oldest();
         }
@@ -148,13 +175,18 @@
 
 impl Block {
     fn record(&self) -> records::RecentRuns {
-        let ids: Vec<u8> = self
-            .ids
-            .iter()
-            .flat_map(|id| id.as_bytes().iter().copied())
-            .collect();
+        let mut bytes = Vec::with_capacity(self.ids.len() * records::RecentRuns::ID_BYTES);
+        for id in &self.ids {
+            bytes.extend_from_slice(&id.to_ne_bytes());
+        }
         records::RecentRuns {
-            ids: ByteBuf::from(ids),
+            ids: ByteBuf::from(bytes),
         }
     }
 }
+
+fn id_bits(id: CallId) -> IdBits {
+    let mut bytes = [0; records::RecentRuns::ID_BYTES];
+    bytes.copy_from_slice(id.as_bytes());
+    IdBits::from_ne_bytes(bytes)
+}
--- a/crates/merlinshelf-backend/src/exchange/recent_runs/tests.rs
+++ b/crates/merlinshelf-backend/src/exchange/recent_runs/tests.rs
@@ -6,7 +6,7 @@
     CallId::parse(format!("{number:016x}").as_bytes()).expect("an id")
 }
 
-fn count_remembered(runs: &RecentRuns, total: usize) -> usize {
+fn count_remembered(runs: &mut RecentRuns, total: usize) -> usize {
     (0..total)
         .filter(|number| runs.contains(id(*number)))
         .count()
@@ -22,7 +22,7 @@
     let limit = megabytes as usize * IDS_PER_MEGABYTE;
     let latest = total - (limit - IDS_PER_BLOCK)..total;
     assert!(latest.into_iter().all(|number| runs.contains(id(number))));
-    assert!(count_remembered(&runs, total) <= limit);
+    assert!(count_remembered(&mut runs, total) <= limit);
     assert!(!runs.contains(id(0)));
 }
 
