--- a/crates/merlinshelf-agent/src/agent/instance_processes.rs
+++ b/crates/merlinshelf-agent/src/agent/instance_processes.rs
@@ -85,10 +85,11 @@
         }
     }
 
-    /// Reads the time for a graceful shutdown that the instance's process has.
+    /// Reads the time for a graceful shutdown from the configuration that the instance's process was
+    /// started with.
     pub(super) fn read_shutdown_timeout(&mut self, name: &str) {
-        if let Some(seconds) = instance_files::shutdown_timeout_seconds(&self.paths(name)) {
-            self.fleet.shutdown_timeout_read(name, seconds);
+        if let Some(milliseconds) = fleet_file::stop_milliseconds(&self.paths(name).config) {
+            self.fleet.set_shutdown_timeout(name, milliseconds / 1e3);
         }
     }
 
--- a/crates/merlinshelf-agent/src/fleet_file.rs
+++ b/crates/merlinshelf-agent/src/fleet_file.rs
@@ -145,15 +145,15 @@
     let milliseconds = spec
         .groups
         .values()
-        .filter_map(stop_milliseconds)
+        .filter_map(|group| stop_milliseconds(&group.config))
         .fold(MIN_STOP_MILLISECONDS, f64::max);
     milliseconds / 1e3
 }
 
-/// `None` if the configuration has changed since it was checked and is no longer valid; instances
-/// then report the error.
-fn stop_milliseconds(group: &Group) -> Option<f64> {
-    let text = std::fs::read_to_string(&group.config).ok()?;
+/// The time for a graceful shutdown by a configuration. `None` if that has changed since it was
+/// checked and is no longer valid; instances then report the error.
+pub(crate) fn stop_milliseconds(config: &Path) -> Option<f64> {
+    let text = std::fs::read_to_string(config).ok()?;
     let config: Value = serde_json::from_str(&text).ok()?;
     config["stop_ms"].as_f64()
 }
--- a/crates/merlinshelf-agent/src/instance_files.rs
+++ b/crates/merlinshelf-agent/src/instance_files.rs
@@ -97,16 +97,6 @@
     Ok(config)
 }
 
-/// The time for a graceful shutdown by the configuration that an instance's process was started
-/// with, in seconds; `None` if that can't be read.
-pub(crate) fn shutdown_timeout_seconds(paths: &InstancePaths) -> Option<f64> {
-    let text = std::fs::read_to_string(&paths.config).ok()?;
-    let config: Value = serde_json::from_str(&text).ok()?;
-    config["stop_ms"]
-        .as_f64()
-        .map(|milliseconds| milliseconds / 1e3)
-}
-
 fn operator_config(
     spec: &FleetSpec,
     group: &Group,
--- a/crates/merlinshelf-backend/src/process/successor_role.rs
+++ b/crates/merlinshelf-backend/src/process/successor_role.rs
@@ -68,7 +68,9 @@
     pub(super) fn flush(&mut self) {
         match &self.channel {
             // An error means that the predecessor has exited, which is a separate event.
-            Some(channel) => drop(self.outbox.flush(channel)),
+            Some(channel) => {
+                let _ = self.outbox.flush(channel);
+            }
             None => self.outbox.clear(),
         }
     }
--- a/crates/merlinshelf-fleet/src/fleet/observation.rs
+++ b/crates/merlinshelf-fleet/src/fleet/observation.rs
@@ -38,7 +38,7 @@
     /// The configuration of an instance's process gives it this time for a graceful shutdown. Must
     /// follow [`process_started`](Fleet::process_started) or
     /// [`process_found`](Fleet::process_found).
-    pub fn shutdown_timeout_read(&mut self, name: &str, seconds: f64) {
+    pub fn set_shutdown_timeout(&mut self, name: &str, seconds: f64) {
         if let Some(instance) = self.instances.get_mut(name) {
             instance.shutdown_timeout_seconds = Some(seconds);
             self.is_record_changed = true;
--- a/crates/merlinshelf-fleet/tests/fleet/processes.rs
+++ b/crates/merlinshelf-fleet/tests/fleet/processes.rs
@@ -123,7 +123,7 @@
         let mut simulation = serving_fleet(8);
         // A new configuration has given the processes more time than the agent knows from its start.
         for name in simulation.processes.keys() {
-            simulation.fleet.shutdown_timeout_read(name, 9.0);
+            simulation.fleet.set_shutdown_timeout(name, 9.0);
         }
         simulation.drain_seconds = 8.0;
         simulation.run_for(1.0);
